--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,4 +1,4 @@
-//! Every decision of micahollow; the types it speaks are in `src/interface.rs`.
+//! Every decision of cleatpulley; the types it speaks are in `src/interface.rs`.
 //!
 //! Bassoon gapping decides the ordinary path: the smoothed backlog of requests that wait to call what lies
 //! below sets a gap, and each admission closes that destination for one gap. Beside it stand a bound on the
--- a/src/bin/micahollow-drill.rs
+++ b/src/bin/cleatpulley-wirehost.rs
@@ -2,7 +2,7 @@
 
 #![forbid(unsafe_code)]
 
-use micahollow::wire::Adapter;
+use cleatpulley::wire::Adapter;
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
 
@@ -10,7 +10,7 @@
     match serve(io::stdin().lock(), io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
-            eprintln!("micahollow-drill: {fault}");
+            eprintln!("cleatpulley-wirehost: {fault}");
             ExitCode::FAILURE
         }
     }
@@ -28,7 +28,7 @@
             return adapter.finish();
         }
         for note in adapter.take(line.trim_end(), &mut reply)? {
-            eprintln!("micahollow-drill: {note}");
+            eprintln!("cleatpulley-wirehost: {note}");
         }
         if !reply.is_empty() {
             let sent = output.write_all(reply.as_bytes()).and_then(|()| output.flush());
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,8 +5,8 @@
 //! happened and carries out the [`Action`](interface::Action)s that it appends.
 //!
 //! ```
-//! use micahollow::interface::*;
-//! use micahollow::Controller;
+//! use cleatpulley::interface::*;
+//! use cleatpulley::Controller;
 //!
 //! let class = Class {
 //!     effect: Effect::Safe,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,8 +2,8 @@
 
 #![allow(dead_code)] // Each test binary uses a part of it.
 
-use micahollow::interface::*;
-use micahollow::Controller;
+use cleatpulley::interface::*;
+use cleatpulley::Controller;
 
 pub const MS: Micros = 1_000;
 pub const SECOND: Micros = 1_000_000;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use micahollow::interface::*;
+use cleatpulley::interface::*;
 
 /// Brings `ids` to their calls, which the bound may or may not let go.
 fn stand_at_calls(script: &mut Script, ids: std::ops::Range<RequestId>) -> Vec<Action> {
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::*;
-use micahollow::interface::*;
-use micahollow::Controller;
+use cleatpulley::interface::*;
+use cleatpulley::Controller;
 use std::collections::BTreeMap;
 
 /// A generator of its own (splitmix64), so that a sequence is the same on every machine.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use micahollow::interface::*;
+use cleatpulley::interface::*;
 
 #[test]
 fn a_running_request_is_failed_before_its_due_time() {
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -11,8 +11,8 @@
     r#""calls_out":3,"calls_over":5000000,"class_calls":[true]}}}"#
 );
 
-fn drill(lines: &[&str]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_micahollow-drill"))
+fn host(lines: &[&str]) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_cleatpulley-wirehost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
@@ -31,14 +31,14 @@
 
 #[test]
 fn an_empty_round_is_answered_and_the_end_of_input_is_a_success() {
-    let output = drill(&[r#"{"verb":"tick","clock":8412250,"round":1}"#, r#"{"verb":"go"}"#]);
+    let output = host(&[r#"{"verb":"tick","clock":8412250,"round":1}"#, r#"{"verb":"go"}"#]);
     assert!(output.status.success());
     assert_eq!(text(&output.stdout), "{\"verb\":\"ready\",\"round\":1}\n");
 }
 
 #[test]
 fn a_request_runs_calls_and_ends_on_the_wire() {
-    let output = drill(&[
+    let output = host(&[
         r#"{"verb":"tick","clock":1000000,"round":1}"#,
         BOOT,
         r#"{"verb":"accept","instance_id":"instance/1","rid":"00000000000000ff","not_after":9000000,"category":0,"mem_kb":10}"#,
@@ -62,7 +62,7 @@
 
 #[test]
 fn a_retired_life_is_forgotten_and_its_number_may_come_again_at_once() {
-    let output = drill(&[
+    let output = host(&[
         r#"{"verb":"tick","clock":1000000,"round":1}"#,
         BOOT,
         r#"{"verb":"go"}"#,
@@ -93,7 +93,7 @@
             }
         }
         lines.push(r#"{"verb":"go"}"#.to_owned());
-        let output = drill(&lines.iter().map(String::as_str).collect::<Vec<_>>());
+        let output = host(&lines.iter().map(String::as_str).collect::<Vec<_>>());
         text(&output.stdout)
             .lines()
             .filter(|l| l.contains("instance/4"))
@@ -107,7 +107,7 @@
 
 #[test]
 fn an_event_of_unknown_kind_is_reported_and_skipped() {
-    let output = drill(&[
+    let output = host(&[
         r#"{"verb":"tick","clock":1,"round":4}"#,
         r#"{"verb":"novelty","instance_id":"instance/1"}"#,
         r#"{"verb":"go"}"#,
@@ -131,7 +131,7 @@
     for (lines, fault) in cases {
         let mut all = vec![r#"{"verb":"tick","clock":1,"round":7}"#];
         all.extend(lines);
-        let output = drill(&all);
+        let output = host(&all);
         assert_eq!(output.status.code(), Some(1), "{fault}");
         let told = text(&output.stderr);
         assert!(told.contains(fault) && told.lines().count() == 1, "{told}");
