--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,153 @@
+//! The one place where the configuration is read, checked and given its defaults: flags come before the
+//! environment, and that before the file.
+
+use crate::interface::{Micros, Settings};
+use crate::settings::BootInfo;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+const STOP_MS: u64 = 3_200;
+const SOCKETS: usize = 1_024;
+/// With fewer there is no room for front ends beside the matcher's own connections.
+const FEWEST_SOCKETS: usize = 128;
+
+/// What flags and environment say; the file says the rest.
+#[derive(Debug, Clone, Default)]
+pub struct Sources {
+    /// `--config` or `GW_CONFIG`.
+    pub file: Option<PathBuf>,
+    /// `--name` or `GW_NAME`.
+    pub name: Option<String>,
+    /// `--listen` or `GW_LISTEN`.
+    pub listen: Option<String>,
+}
+
+impl Sources {
+    /// Fills what no flag said from the environment.
+    #[must_use]
+    pub fn or_environment(self, get: impl Fn(&str) -> Option<String>) -> Self {
+        Self {
+            file: self.file.or_else(|| get("GW_CONFIG").map(PathBuf::from)),
+            name: self.name.or_else(|| get("GW_NAME")),
+            listen: self.listen.or_else(|| get("GW_LISTEN")),
+        }
+    }
+}
+
+/// A checked configuration.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// The matcher's name.
+    pub name: String,
+    /// Where front ends connect.
+    pub listen: SocketAddr,
+    /// Where the runtime is.
+    pub runtime: SocketAddr,
+    /// Where the directory is.
+    pub lookup: SocketAddr,
+    /// Where the store is.
+    pub store: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// Time between the notice to leave and the stop.
+    pub stop: Micros,
+    /// Descriptors that the process may hold.
+    pub sockets: usize,
+    /// Names of the classes, by index.
+    pub class_names: Vec<String>,
+    /// Names of the gauges, in the order that the runtime tells them in.
+    pub gauge_names: Vec<String>,
+    /// What the controller is told.
+    pub settings: Settings,
+}
+
+#[derive(Deserialize)]
+struct File {
+    name: Option<String>,
+    listen: Option<String>,
+    runtime: String,
+    lookup: String,
+    store: String,
+    #[serde(default)]
+    seed: Option<String>,
+    #[serde(default)]
+    stop_ms: Option<u64>,
+    #[serde(default)]
+    limits: Limits,
+    settings: BootInfo,
+}
+
+#[derive(Deserialize, Default)]
+struct Limits {
+    sockets: Option<usize>,
+}
+
+impl Config {
+    /// Reads the file that the sources name.
+    ///
+    /// # Errors
+    /// One line that names the faulty key.
+    pub fn load(sources: &Sources) -> Result<Self, String> {
+        let file =
+            sources.file.as_deref().ok_or("GW_CONFIG (or --config): no configuration file is named")?;
+        let text = std::fs::read_to_string(file)
+            .map_err(|e| format!("GW_CONFIG (or --config): {}: {e}", Path::display(file)))?;
+        Self::parse(&text, sources)
+    }
+
+    /// Checks the text of a configuration file.
+    ///
+    /// # Errors
+    /// One line that names the faulty key.
+    pub fn parse(text: &str, sources: &Sources) -> Result<Self, String> {
+        let mut json = serde_json::Deserializer::from_str(text);
+        let file: File = serde_path_to_error::deserialize(&mut json).map_err(|e| {
+            let path = e.path().to_string();
+            if path == "." {
+                e.into_inner().to_string()
+            } else {
+                format!("{path}: {}", e.inner())
+            }
+        })?;
+        json.end().map_err(|e| e.to_string())?;
+        file.settings.check().map_err(|fault| format!("settings.{fault}"))?;
+
+        let name = sources.name.clone().or(file.name).ok_or("name: missing")?;
+        let plain = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+        if name.is_empty() || !name.chars().all(plain) {
+            return Err(format!("name: {name:?} is not letters, digits, '-', '_' and '.'"));
+        }
+        let seed = match &file.seed {
+            None => 0,
+            Some(text) => u64::from_str_radix(text, 16)
+                .map_err(|_| format!("seed: {text:?} is not up to 16 hex digits"))?,
+        };
+        let stop_ms = file.stop_ms.unwrap_or(STOP_MS);
+        if stop_ms == 0 || stop_ms > 3_600_000 {
+            return Err(format!("stop_ms: {stop_ms} is not within 1 to 3600000"));
+        }
+        let sockets = file.limits.sockets.unwrap_or(SOCKETS);
+        if sockets < FEWEST_SOCKETS {
+            return Err(format!("limits.sockets: {sockets} is less than {FEWEST_SOCKETS}"));
+        }
+        Ok(Self {
+            listen: address("listen", sources.listen.as_ref().or(file.listen.as_ref()))?,
+            runtime: address("runtime", Some(&file.runtime))?,
+            lookup: address("lookup", Some(&file.lookup))?,
+            store: address("store", Some(&file.store))?,
+            name,
+            seed,
+            stop: stop_ms * 1_000,
+            sockets,
+            class_names: file.settings.class_names(),
+            gauge_names: file.settings.gauge_names(),
+            settings: file.settings.settings(),
+        })
+    }
+}
+
+fn address(key: &str, text: Option<&String>) -> Result<SocketAddr, String> {
+    let text = text.ok_or_else(|| format!("{key}: missing"))?;
+    text.parse().map_err(|_| format!("{key}: {text:?} is not an address and port, such as 127.0.0.1:5050"))
+}
--- /dev/null
+++ b/src/exchange.rs
@@ -0,0 +1,578 @@
+//! The exchange, where the client side and the server side meet: a core with no I/O and no clock.
+//!
+//! Adapters tell it [`Fact`]s and carry out the [`Command`]s that it appends. It owns the table of requests,
+//! their due times, the timers and the [`Controller`]; it sees to it that each request gets exactly one
+//! answer, whatever the other parties do. It knows nothing of frames, lines or HTTP, so that another protocol
+//! can stand before it.
+
+use crate::balance::Controller;
+use crate::interface::{Action, Effect, Event, Gauges, Micros, Outcome, Request, RequestId, Settings};
+use std::collections::{BTreeSet, HashMap};
+
+/// Gauges are asked for so long before a timer, that they are there and fresh when it fires.
+const GAUGE_LEAD: Micros = 4_000;
+/// Older gauges tell the controller nothing about the present.
+const GAUGE_AGE: Micros = 100_000;
+
+/// Where an answer goes: a connection of the client side and a stream on it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Origin {
+    /// The connection; numbers are never used again.
+    pub connection: u64,
+    /// The stream.
+    pub stream: u32,
+}
+
+/// A request as the client side read it.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// Where its answer goes.
+    pub origin: Origin,
+    /// Its id, new with every try.
+    pub id: RequestId,
+    /// Index of its class.
+    pub class: usize,
+    /// The caller's number.
+    pub caller: u64,
+    /// When it came to the machine, on the clock of all facts.
+    pub door: Micros,
+    /// Expected work on one core.
+    pub work: Micros,
+    /// Memory while held.
+    pub memory_kb: f64,
+    /// Position from 0 to 1 by class and user.
+    pub rank: f64,
+    /// It names a subject.
+    pub has_subject: bool,
+    /// Its body, as it came.
+    pub body: Vec<u8>,
+}
+
+/// Which command is meant where one was refused or its fate is unknown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Order {
+    /// To start a run.
+    Start,
+    /// To hand a run the reply to its call.
+    Give,
+    /// To go on without a call.
+    Omit,
+}
+
+/// What adapters tell the exchange.
+#[derive(Debug, Clone)]
+pub enum Fact {
+    /// The runtime is up, and has been for so long.
+    Ready(Micros),
+    /// A request was read.
+    Arrived(Arrival),
+    /// A connection of the client side is gone: nobody can be answered on it.
+    OriginLost(u64),
+    /// A run waits for a call with this body.
+    CallWanted {
+        /// The request.
+        id: RequestId,
+        /// The number of the notice.
+        notice: u64,
+        /// The body of the call.
+        body: Vec<u8>,
+    },
+    /// A run is over.
+    RunEnded {
+        /// The request.
+        id: RequestId,
+        /// How it ended.
+        outcome: Outcome,
+        /// How long it took.
+        elapsed: Micros,
+        /// What it made.
+        result: Vec<u8>,
+    },
+    /// The runtime did not carry out a command.
+    OrderRefused {
+        /// The request.
+        id: RequestId,
+        /// The command.
+        order: Order,
+    },
+    /// The link to the runtime broke after this command was sent, and all that the runtime had to say up to
+    /// its return has been told: the command may have got there or not.
+    OrderInDoubt {
+        /// The request.
+        id: RequestId,
+        /// The command.
+        order: Order,
+    },
+    /// A call ended.
+    CallEnded {
+        /// The request.
+        id: RequestId,
+        /// How it ended.
+        outcome: Outcome,
+        /// How long it took.
+        elapsed: Micros,
+        /// The reply.
+        reply: Vec<u8>,
+    },
+    /// The gauges, just read.
+    Gauges(Gauges),
+    /// The notice to leave.
+    Drain {
+        /// When the process is stopped.
+        stop_at: Micros,
+    },
+}
+
+/// The one final answer to a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Answer {
+    /// The result of its run.
+    Served(Vec<u8>),
+    /// Turned away: it never ran.
+    Refused {
+        /// The caller should stay away for so long; 0 gives no advice.
+        later: Micros,
+        /// No other server should be tried.
+        last: bool,
+    },
+    /// An error, with no promise.
+    Failed,
+}
+
+/// What the exchange wants done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Command {
+    /// Answer a request.
+    Answer {
+        /// Where to.
+        to: Origin,
+        /// What.
+        answer: Answer,
+    },
+    /// Start a run.
+    Start {
+        /// The request.
+        id: RequestId,
+        /// Its class.
+        class: usize,
+        /// Its body.
+        body: Vec<u8>,
+    },
+    /// Hand a run the reply to its call.
+    Give {
+        /// The request.
+        id: RequestId,
+        /// The reply.
+        body: Vec<u8>,
+    },
+    /// Let a run go on without its call.
+    Omit {
+        /// The request.
+        id: RequestId,
+        /// The notice that asked for the call.
+        notice: u64,
+    },
+    /// Make a call.
+    Call {
+        /// The request it is made for.
+        id: RequestId,
+        /// Its body.
+        body: Vec<u8>,
+        /// Abandon it after this time.
+        timeout: Micros,
+    },
+    /// Abandon a request's call.
+    Abandon(RequestId),
+    /// Ask for the gauges.
+    AskGauges,
+    /// Answer health checks so.
+    Health(bool),
+    /// Let every answer carry this value from now on.
+    Feedback(f64),
+    /// Close connections that carried nothing for this time.
+    CloseIdle(Micros),
+}
+
+#[derive(Debug)]
+enum Stage {
+    Held,
+    Running,
+    /// A run waits for its call, which was not made yet or has to be made again.
+    AtCall,
+    Calling,
+}
+
+/// A request that owes an answer or still runs.
+#[derive(Debug)]
+struct Entry {
+    origin: Origin,
+    class: usize,
+    door: Micros,
+    due: Micros,
+    answered: bool,
+    stage: Stage,
+    /// The request's body; kept beyond the start only where a start may be sent again.
+    body: Vec<u8>,
+    /// The last call that the run wanted.
+    notice: u64,
+    call: Vec<u8>,
+}
+
+/// The core of a matcher.
+pub struct Exchange {
+    controller: Controller,
+    settings: Settings,
+    started: bool,
+    entries: HashMap<RequestId, Entry>,
+    /// Due times of the unanswered.
+    dues: BTreeSet<(Micros, RequestId)>,
+    timers: BTreeSet<(Micros, u64)>,
+    events: Vec<Event>,
+    actions: Vec<Action>,
+    stepped: Micros,
+    gauges: Gauges,
+    gauged: Micros,
+    /// The timer that gauges were last asked for.
+    asked_for: Micros,
+}
+
+impl Exchange {
+    /// An exchange for a process that has just started.
+    #[must_use]
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        // A served answer must be the result of the request's own run: none is shared.
+        let settings = Settings { fresh: 0, ..settings };
+        Self {
+            controller: Controller::new(settings.clone(), seed),
+            settings,
+            started: false,
+            entries: HashMap::new(),
+            dues: BTreeSet::new(),
+            timers: BTreeSet::new(),
+            events: Vec::new(),
+            actions: Vec::new(),
+            stepped: 0,
+            gauges: Gauges::default(),
+            gauged: 0,
+            asked_for: 0,
+        }
+    }
+
+    /// Requests that still owe an answer.
+    #[must_use]
+    pub fn unanswered(&self) -> usize {
+        self.dues.len()
+    }
+
+    /// Hears a fact. What the controller has to decide waits for the next [`advance`](Self::advance).
+    pub fn hear(&mut self, now: Micros, fact: Fact, commands: &mut Vec<Command>) {
+        match fact {
+            Fact::Ready(since) => self.start(now, now.saturating_sub(since), commands),
+            Fact::Arrived(arrival) => self.arrive(now, arrival, commands),
+            Fact::OriginLost(connection) => self.lose_origin(connection, commands),
+            Fact::CallWanted { id, notice, body } => {
+                let Some(entry) = self.entries.get_mut(&id) else { return };
+                if matches!(entry.stage, Stage::Held) {
+                    return;
+                }
+                if matches!(entry.stage, Stage::Calling) {
+                    commands.push(Command::Abandon(id));
+                }
+                entry.stage = Stage::AtCall;
+                entry.notice = notice;
+                entry.call = body;
+                self.events.push(Event::CallNeeded(id));
+            }
+            Fact::RunEnded { id, outcome, elapsed, result } => {
+                self.end_run(id, outcome, elapsed, result, commands);
+            }
+            Fact::OrderRefused { id, order: Order::Start } => {
+                self.end_run(id, Outcome::Void, 0, Vec::new(), commands);
+            }
+            Fact::OrderRefused { id, .. } => {
+                // The run can't go on, and nothing better is known to be done for its caller.
+                if self.answer(id, Answer::Failed, commands) {
+                    self.events.push(Event::Gone(id));
+                }
+            }
+            Fact::OrderInDoubt { id, order } => self.settle(id, order, commands),
+            Fact::CallEnded { id, outcome, elapsed, reply } => {
+                let Some(entry) = self.entries.get_mut(&id) else { return };
+                if !matches!(entry.stage, Stage::Calling) {
+                    return;
+                }
+                if outcome == Outcome::Success {
+                    entry.stage = Stage::Running;
+                    commands.push(Command::Give { id, body: reply });
+                } else {
+                    entry.stage = Stage::AtCall;
+                }
+                self.events.push(Event::CallEnded { id, outcome, elapsed });
+            }
+            Fact::Gauges(gauges) => {
+                self.gauges = gauges;
+                self.gauged = now;
+            }
+            Fact::Drain { stop_at } => self.events.push(Event::Drain { stop_at }),
+        }
+    }
+
+    /// Lets the controller decide where it is time to: events are gathered into one step, and steps are no
+    /// closer than the tick.
+    pub fn advance(&mut self, now: Micros, commands: &mut Vec<Command>) {
+        if now >= self.stepped + self.settings.tick {
+            while let Some(&(at, token)) = self.timers.first() {
+                if at > now {
+                    break;
+                }
+                self.timers.pop_first();
+                let fresh = now.saturating_sub(self.gauged) <= GAUGE_AGE;
+                let gauges = if fresh { self.gauges } else { Gauges::default() };
+                self.events.push(Event::Timer { token, gauges });
+            }
+            if !self.events.is_empty() {
+                if !self.started {
+                    self.start(now, now, commands);
+                }
+                self.step(now, commands);
+            }
+        }
+        if let Some(&(at, _)) = self.timers.first() {
+            if at != self.asked_for && now + GAUGE_LEAD >= at {
+                self.asked_for = at;
+                commands.push(Command::AskGauges);
+            }
+        }
+        self.keep_dues(now, commands);
+    }
+
+    /// When [`advance`](Self::advance) has something to do next, if nothing is heard before.
+    #[must_use]
+    pub fn next(&self) -> Option<Micros> {
+        let step = self.stepped + self.settings.tick;
+        let events = (!self.events.is_empty()).then_some(step);
+        let timer = self.timers.first().map(|&(at, _)| {
+            let ask = at.saturating_sub(GAUGE_LEAD);
+            if at == self.asked_for {
+                at.max(step)
+            } else {
+                ask
+            }
+        });
+        let due = self.dues.first().map(|&(due, _)| due + self.grace());
+        [events, timer, due].into_iter().flatten().min()
+    }
+
+    /// Guards against an answer that the controller does not give: half of the slack is left to send it.
+    fn grace(&self) -> Micros {
+        self.settings.answer_slack / 2
+    }
+
+    fn start(&mut self, now: Micros, since: Micros, commands: &mut Vec<Command>) {
+        if self.started {
+            return;
+        }
+        self.started = true;
+        let waiting = std::mem::replace(&mut self.events, vec![Event::Started]);
+        self.step(since, commands);
+        self.events = waiting;
+        self.stepped = now.saturating_sub(self.settings.tick);
+    }
+
+    fn step(&mut self, now: Micros, commands: &mut Vec<Command>) {
+        self.stepped = now;
+        let mut events = std::mem::take(&mut self.events);
+        for event in &mut events {
+            if let Event::Arrived(request) = event {
+                // The door stands still while the request waited for this step.
+                request.waited = self.entries.get(&request.id).map_or(0, |e| now.saturating_sub(e.door));
+            }
+        }
+        let mut actions = std::mem::take(&mut self.actions);
+        self.controller.step(now, &events, &mut actions);
+        for action in actions.drain(..) {
+            self.act(action, commands);
+        }
+        self.actions = actions;
+        events.clear();
+        self.events = events;
+    }
+
+    fn arrive(&mut self, now: Micros, arrival: Arrival, commands: &mut Vec<Command>) {
+        let Arrival { origin, id, class, caller, door, work, memory_kb, rank, has_subject, body } = arrival;
+        let Some(settings) = self.settings.classes.get(class) else {
+            commands.push(Command::Answer { to: origin, answer: Answer::Failed });
+            return;
+        };
+        // Ids are new with every try: one that is open already may run, and must not run again.
+        if self.entries.contains_key(&id) {
+            commands.push(Command::Answer { to: origin, answer: Answer::Failed });
+            return;
+        }
+        // Guards against clocks that differ: nothing came later than now, or longer ago than anyone waits.
+        let door = door.min(now).max(now.saturating_sub(settings.deadline));
+        let due = (door + settings.deadline).max(now);
+        let entry = Entry {
+            origin,
+            class,
+            door,
+            due,
+            answered: false,
+            stage: Stage::Held,
+            body,
+            notice: 0,
+            call: Vec::new(),
+        };
+        self.entries.insert(id, entry);
+        self.dues.insert((due, id));
+        self.events.push(Event::Arrived(Request {
+            id,
+            due: None,
+            prior: None,
+            class,
+            tenant: 0,
+            waited: 0,
+            work: (work > 0).then_some(work),
+            retry: false,
+            write: settings.effect != Effect::Safe,
+            has_subject,
+            caller,
+            rank,
+            memory_kb,
+        }));
+    }
+
+    fn lose_origin(&mut self, connection: u64, commands: &mut Vec<Command>) {
+        let lost = |e: &Entry| e.origin.connection == connection && !e.answered;
+        let mut ids: Vec<_> =
+            self.entries.iter().filter(|(_, e)| lost(e)).map(|(id, e)| (e.door, *id)).collect();
+        ids.sort_unstable();
+        for (_, id) in ids {
+            self.over(id, commands);
+            self.events.push(Event::Gone(id));
+        }
+    }
+
+    fn end_run(
+        &mut self,
+        id: RequestId,
+        outcome: Outcome,
+        elapsed: Micros,
+        result: Vec<u8>,
+        commands: &mut Vec<Command>,
+    ) {
+        let Some(entry) = self.entries.get(&id) else { return };
+        if matches!(entry.stage, Stage::Held) {
+            return;
+        }
+        if matches!(entry.stage, Stage::Calling) {
+            commands.push(Command::Abandon(id));
+        }
+        let served = outcome == Outcome::Success;
+        self.answer(id, if served { Answer::Served(result) } else { Answer::Failed }, commands);
+        self.entries.remove(&id);
+        self.events.push(Event::RunEnded { id, outcome, elapsed });
+    }
+
+    /// Settles a command that may or may not have reached the runtime, so that nothing runs twice: a start
+    /// again may run again what has run and ended, and a reply again may answer a later call.
+    fn settle(&mut self, id: RequestId, order: Order, commands: &mut Vec<Command>) {
+        let Some(entry) = self.entries.get(&id) else { return };
+        let class = &self.settings.classes[entry.class];
+        if !matches!(entry.stage, Stage::Running) {
+            return;
+        }
+        match order {
+            Order::Start if entry.notice == 0 && class.effect == Effect::Safe => {
+                commands.push(Command::Start { id, class: entry.class, body: entry.body.clone() });
+            }
+            // Names the call that is left out: harmless where the run has gone on already.
+            Order::Omit => commands.push(Command::Omit { id, notice: entry.notice }),
+            Order::Give if class.skip_worth > 0.0 => {
+                commands.push(Command::Omit { id, notice: entry.notice });
+            }
+            _ => {}
+        }
+    }
+
+    fn act(&mut self, action: Action, commands: &mut Vec<Command>) {
+        match action {
+            Action::Run(id) => {
+                let Some(entry) = self.entries.get_mut(&id) else { return };
+                if !matches!(entry.stage, Stage::Held) {
+                    return;
+                }
+                entry.stage = Stage::Running;
+                let safe = self.settings.classes[entry.class].effect == Effect::Safe;
+                let body = if safe { entry.body.clone() } else { std::mem::take(&mut entry.body) };
+                commands.push(Command::Start { id, class: entry.class, body });
+            }
+            Action::Refuse { id, avoid_for, last } => {
+                // The promise that it never ran is only given where that is known.
+                let held = self.entries.get(&id).is_some_and(|e| matches!(e.stage, Stage::Held));
+                let refused = Answer::Refused { later: avoid_for, last };
+                self.answer(id, if held { refused } else { Answer::Failed }, commands);
+            }
+            Action::Fail(id) | Action::Share(id) => {
+                self.answer(id, Answer::Failed, commands);
+            }
+            Action::Call { id, timeout } => {
+                let Some(entry) = self.entries.get_mut(&id) else { return };
+                if matches!(entry.stage, Stage::AtCall) && !entry.answered {
+                    entry.stage = Stage::Calling;
+                    commands.push(Command::Call { id, body: entry.call.clone(), timeout });
+                }
+            }
+            Action::SkipCall(id) => {
+                let Some(entry) = self.entries.get_mut(&id) else { return };
+                if matches!(entry.stage, Stage::AtCall) {
+                    entry.stage = Stage::Running;
+                    commands.push(Command::Omit { id, notice: entry.notice });
+                }
+            }
+            Action::Timer { at, token } => {
+                self.timers.insert((at, token));
+            }
+            Action::Advertise(value) => commands.push(Command::Feedback(value)),
+            Action::CloseIdle(after) => commands.push(Command::CloseIdle(after)),
+            Action::Health { good, .. } => commands.push(Command::Health(good)),
+            // No keys come on these sockets, so that none is kept.
+            Action::Remember { .. } | Action::Forget(_) => {}
+        }
+    }
+
+    /// Answers a request unless it was answered before; tells whether it did.
+    fn answer(&mut self, id: RequestId, answer: Answer, commands: &mut Vec<Command>) -> bool {
+        let Some(entry) = self.entries.get(&id).filter(|entry| !entry.answered) else { return false };
+        commands.push(Command::Answer { to: entry.origin, answer });
+        self.over(id, commands);
+        true
+    }
+
+    /// No answer is owed any more: a held request is gone, a call abandoned, and a run ends in its own time.
+    fn over(&mut self, id: RequestId, commands: &mut Vec<Command>) {
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        entry.answered = true;
+        self.dues.remove(&(entry.due, id));
+        match entry.stage {
+            Stage::Held => {
+                self.entries.remove(&id);
+            }
+            Stage::Calling => {
+                entry.stage = Stage::AtCall;
+                commands.push(Command::Abandon(id));
+            }
+            Stage::Running | Stage::AtCall => {}
+        }
+    }
+
+    fn keep_dues(&mut self, now: Micros, commands: &mut Vec<Command>) {
+        while let Some(&(due, id)) = self.dues.first() {
+            if due + self.grace() > now {
+                return;
+            }
+            self.answer(id, Answer::Failed, commands);
+            self.events.push(Event::Gone(id));
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -61,7 +61,11 @@
 #![warn(missing_docs)]
 
 pub mod balance;
+pub mod config;
+pub mod exchange;
 pub mod interface;
+pub mod net;
+pub mod settings;
 pub mod wire;
 
 pub use balance::Controller;
--- /dev/null
+++ b/src/net/runtime.rs
@@ -0,0 +1,313 @@
+//! The link to the runtime: commands out, notices in, and the way back after a break.
+
+use super::conn::Conn;
+use super::line::{self, Notice};
+use super::{Handle, Party};
+use crate::exchange::{Fact, Order};
+use crate::interface::{Gauges, Micros, Outcome, RequestId};
+use calloop::Readiness;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+/// Wait before a link is tried again.
+const RETRY: Micros = 50_000;
+/// No line is longer; what is can't be told apart from what follows it.
+const LONGEST_LINE: usize = 262_144;
+/// Lines read in one turn of the loop, so that a full link blocks nobody.
+const READ_AT_ONCE: usize = 262_144;
+
+/// Lines that the runtime may leave unread before no more gauges are asked for.
+const MOST_FLYING: usize = 4_096;
+
+/// A command that may have to be settled after a break.
+#[derive(Debug, Clone, Copy)]
+struct Sent {
+    id: RequestId,
+    order: Order,
+}
+
+/// One line on its way out.
+struct Outgoing {
+    line: Vec<u8>,
+    sent: Option<Sent>,
+    /// The mark of a question for gauges.
+    mark: Option<u64>,
+}
+
+/// The link and what it has to remember across breaks.
+pub struct Runtime {
+    handle: Handle,
+    address: SocketAddr,
+    routes: Vec<String>,
+    gauge_names: Vec<String>,
+    conn: Option<Conn>,
+    /// `sync` was answered on this link.
+    synced: bool,
+    /// Commands sent on earlier links and not settled; they wait for the load with this mark.
+    doubtful: Vec<Sent>,
+    barrier: u64,
+    retry_at: Micros,
+    /// The last notice read.
+    last: u64,
+    marks: u64,
+    /// Lines that no byte was sent of yet, which another link may carry.
+    queue: VecDeque<Outgoing>,
+    /// Lines handed to the system on this link, with their ends in the bytes of the link, until a load proves
+    /// that they were read.
+    flying: VecDeque<(u64, Outgoing)>,
+    handed: u64,
+    written: u64,
+    was_up: bool,
+}
+
+impl Runtime {
+    /// A link that is tried at once.
+    #[must_use]
+    pub fn new(handle: Handle, address: SocketAddr, routes: Vec<String>, gauge_names: Vec<String>) -> Self {
+        Self {
+            handle,
+            address,
+            routes,
+            gauge_names,
+            conn: None,
+            synced: false,
+            doubtful: Vec::new(),
+            barrier: 0,
+            retry_at: 0,
+            last: 0,
+            marks: 0,
+            queue: VecDeque::new(),
+            flying: VecDeque::new(),
+            handed: 0,
+            written: 0,
+            was_up: false,
+        }
+    }
+
+    /// Whether the runtime is up and the link stands.
+    #[must_use]
+    pub fn up(&self) -> bool {
+        self.synced
+    }
+
+    /// Starts a run.
+    pub fn start(&mut self, id: RequestId, class: usize, body: &[u8]) {
+        let route = self.routes.get(class).map_or("", String::as_str);
+        self.push(line::start(id, route, body), Some(Sent { id, order: Order::Start }), None);
+    }
+
+    /// Hands over the reply to a call.
+    pub fn give(&mut self, id: RequestId, body: &[u8]) {
+        self.push(line::give(id, body), Some(Sent { id, order: Order::Give }), None);
+    }
+
+    /// Leaves out a call.
+    pub fn omit(&mut self, id: RequestId, notice: u64) {
+        self.push(line::omit(id, notice), Some(Sent { id, order: Order::Omit }), None);
+    }
+
+    /// Asks for the gauges; while no link stands there is nobody to ask.
+    pub fn ask_gauges(&mut self) {
+        // A runtime that does not answer is not asked without end.
+        if self.synced && self.flying.len() < MOST_FLYING {
+            self.marks += 1;
+            self.push(line::gauges(self.marks), None, Some(self.marks));
+        }
+    }
+
+    fn push(&mut self, line: Vec<u8>, sent: Option<Sent>, mark: Option<u64>) {
+        self.queue.push_back(Outgoing { line, sent, mark });
+    }
+
+    /// Takes note of what the event loop saw.
+    pub fn note(&mut self, readiness: Readiness) {
+        if let Some(conn) = &mut self.conn {
+            conn.note(readiness);
+        }
+    }
+
+    /// Reads what has come, sends what waits, and mends the link. True when there is more to read.
+    pub fn turn(&mut self, now: Micros, facts: &mut Vec<Fact>) -> bool {
+        if self.conn.is_none() && now >= self.retry_at {
+            self.connect(now);
+        }
+        let Some(conn) = &mut self.conn else { return false };
+        let read = conn.read(READ_AT_ONCE);
+        let ended = conn.ended;
+        self.read_lines(facts);
+        let sent = self.send();
+        match (read, sent) {
+            (Ok(more), Ok(())) if !ended => more,
+            (Err(e), _) | (_, Err(e)) => {
+                self.lose(now, &e.to_string());
+                false
+            }
+            _ => {
+                self.lose(now, "closed by the runtime");
+                false
+            }
+        }
+    }
+
+    /// When the link is to be tried again.
+    #[must_use]
+    pub fn next(&self) -> Option<Micros> {
+        self.conn.is_none().then_some(self.retry_at)
+    }
+
+    fn connect(&mut self, now: Micros) {
+        match Conn::connect(&self.handle, self.address, Party::Runtime) {
+            Ok(mut conn) => {
+                conn.output().extend_from_slice(&line::sync(self.last));
+                self.handed = conn.unsent() as u64;
+                self.written = 0;
+                self.conn = Some(conn);
+            }
+            Err(e) => self.lose(now, &e.to_string()),
+        }
+    }
+
+    /// Sorts the commands of a link that broke: what was not handed over can be sent on the next one, what was
+    /// is in doubt until the notices up to then are read.
+    fn lose(&mut self, now: Micros, why: &str) {
+        if self.was_up {
+            log::warn!("runtime: link lost: {why}");
+        }
+        self.was_up = false;
+        self.conn = None;
+        self.synced = false;
+        self.retry_at = now + RETRY;
+        for (end, outgoing) in std::mem::take(&mut self.flying).into_iter().rev() {
+            let begin = end - outgoing.line.len() as u64;
+            if begin >= self.written {
+                self.queue.push_front(outgoing);
+            } else {
+                self.doubtful.extend(outgoing.sent);
+            }
+        }
+        self.queue.retain(|outgoing| outgoing.mark.is_none());
+    }
+
+    /// Hands over lines one after the other, as far as the system takes them.
+    fn send(&mut self) -> std::io::Result<()> {
+        let Some(conn) = &mut self.conn else { return Ok(()) };
+        // Nothing but `sync` is sent before the runtime is up.
+        while self.synced {
+            let Some(outgoing) = self.queue.pop_front() else { break };
+            conn.output().extend_from_slice(&outgoing.line);
+            self.handed += outgoing.line.len() as u64;
+            self.flying.push_back((self.handed, outgoing));
+        }
+        self.written += conn.flush()? as u64;
+        Ok(())
+    }
+
+    fn read_lines(&mut self, facts: &mut Vec<Fact>) {
+        let Some(conn) = &mut self.conn else { return };
+        let mut input = std::mem::take(&mut conn.input);
+        let mut used = 0;
+        while let Some(length) = input[used..].iter().position(|b| *b == b'\n') {
+            let line = &input[used..used + length];
+            used += length + 1;
+            if line.is_empty() {
+                continue;
+            }
+            if let Err(fault) = self.read_line(line, facts) {
+                log::warn!("runtime: odd line skipped: {fault}");
+            }
+        }
+        input.drain(..used);
+        if input.len() > LONGEST_LINE {
+            log::warn!("runtime: a line without an end, {} bytes passed over", input.len());
+            input.clear();
+        }
+        if let Some(conn) = &mut self.conn {
+            conn.input = input;
+        }
+    }
+
+    fn read_line(&mut self, line: &[u8], facts: &mut Vec<Fact>) -> Result<(), String> {
+        let notice = Notice::decode(line)?;
+        if let Some(number) = notice.no {
+            // A new link tells again what the old one may have told.
+            if number <= self.last {
+                return Ok(());
+            }
+            self.last = number;
+        }
+        match &*notice.t {
+            "ready" => {
+                log::info!("runtime: {}, up for {} ms", notice.status, notice.time() / 1_000);
+                self.synced = true;
+                self.was_up = true;
+                facts.push(Fact::Ready(notice.time()));
+                // Answered after all notices that the runtime had for us.
+                self.ask_gauges();
+                self.barrier = self.marks;
+            }
+            "end" => {
+                let id = notice.request()?;
+                let mut outcome = match &*notice.status {
+                    "fine" => Outcome::Success,
+                    "fault" => Outcome::Failure,
+                    "broken_off" => Outcome::Withdrawn,
+                    "late" => Outcome::Void,
+                    other => {
+                        log::warn!("runtime: unknown end {other:?} taken for a fault");
+                        Outcome::Failure
+                    }
+                };
+                // A result that can't be read must not be told to anyone, but the run is over all the same.
+                let result = notice.body().unwrap_or_else(|fault| {
+                    log::warn!("runtime: result of {} lost: {fault}", line::rid(id));
+                    outcome = Outcome::Failure;
+                    Vec::new()
+                });
+                self.doubtful.retain(|sent| sent.id != id);
+                facts.push(Fact::RunEnded { id, outcome, elapsed: notice.time(), result });
+            }
+            "wants" => {
+                let id = notice.request()?;
+                let number = notice.no.ok_or("a call without a number")?;
+                self.doubtful.retain(|sent| sent.id != id);
+                facts.push(Fact::CallWanted { id, notice: number, body: notice.body()? });
+            }
+            "load" => {
+                let find = |name: &str| {
+                    let place = self.gauge_names.iter().position(|n| n == name)?;
+                    notice.v.get(place).copied()
+                };
+                facts.push(Fact::Gauges(Gauges { runnable: find("runnable"), memory: find("mem_used") }));
+                if let Some(mark) = notice.mark() {
+                    self.confirm(mark, facts);
+                }
+            }
+            "nack" => {
+                let id = notice.request()?;
+                let order = match &*notice.status {
+                    "start" => Order::Start,
+                    "give" => Order::Give,
+                    "omit" => Order::Omit,
+                    other => return Err(format!("nack of {other:?}")),
+                };
+                log::warn!("runtime: {} of {} not carried out", notice.status, line::rid(id));
+                facts.push(Fact::OrderRefused { id, order });
+            }
+            "info" => {}
+            other => return Err(format!("unknown kind {other:?}")),
+        }
+        Ok(())
+    }
+
+    /// The runtime has read all lines up to the one with this mark.
+    fn confirm(&mut self, mark: u64, facts: &mut Vec<Fact>) {
+        if let Some(place) = self.flying.iter().position(|(_, o)| o.mark == Some(mark)) {
+            self.flying.drain(..=place);
+        }
+        if mark >= self.barrier {
+            let doubtful = std::mem::take(&mut self.doubtful);
+            let told = doubtful.into_iter().map(|s| Fact::OrderInDoubt { id: s.id, order: s.order });
+            facts.extend(told);
+        }
+    }
+}
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use common::*;
 use cleatpulley::interface::*;
+use common::*;
 
 /// Brings `ids` to their calls, which the bound may or may not let go.
 fn stand_at_calls(script: &mut Script, ids: std::ops::Range<RequestId>) -> Vec<Action> {
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
-use common::*;
 use cleatpulley::interface::*;
 use cleatpulley::Controller;
+use common::*;
 use std::collections::BTreeMap;
 
 /// A generator of its own (splitmix64), so that a sequence is the same on every machine.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use common::*;
 use cleatpulley::interface::*;
+use common::*;
 
 #[test]
 fn a_running_request_is_failed_before_its_due_time() {
