--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -245,8 +245,9 @@
         (1..=4).for_each(|id| drop(core.arrive(id, 0)));
         let mut started = 0;
         for _ in 0..200 {
-            core.hear(Fact::Gauges(Gauges { runnable, memory: None }));
-            started += core.pass(4 * MS).iter().filter(|c| matches!(c, Command::Start { .. })).count();
+            let mut commands = core.hear(Fact::Gauges(Gauges { runnable, memory: None }));
+            commands.extend(core.pass(4 * MS));
+            started += commands.iter().filter(|c| matches!(c, Command::Start { .. })).count();
         }
         started
     };
--- /dev/null
+++ b/tests/exchanges.rs
@@ -0,0 +1,363 @@
+//! Plays the recorded byte exchanges of `tests/exchanges/` against the program and compares.
+//!
+//! A file is a list of steps, one a line; `#` begins a remark. A step is a party, a direction and bytes:
+//! `>` is sent to the program, `<` is what the program must send next.
+//!
+//! - `front1 > BYTES`, `front1 < BYTES`: a front end's connection, opened with its first step. Bytes are hex
+//!   pairs, `"text"`, `$name` (from `let name BYTES`), `[ ... ]` (its length in four bytes, then itself),
+//!   `N*XX` (a byte N times), and `{now}`, `{now-2500}`: Unix milliseconds when the step is played.
+//! - `runtime > LINE`, `runtime < LINE`: JSON, compared by value. Questions for the gauges are answered by the
+//!   player and not compared. `store` and `directory`: `\r\n` text; a `*` matches the rest of a line's part.
+//! - `PARTY accept`, `PARTY close`, `PARTY < end`: takes the program's next connection, closes one, or waits
+//!   for the program to close it. `store down` refuses connections until `store up`.
+//! - `config KEY JSON` before the first step changes the configuration; `signal`, `exit CODE`, `log TEXT`
+//!   and `restart` are about the process.
+
+use serde_json::{json, Value};
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver, RecvTimeoutError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Nothing takes so long but a failure.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+fn config() -> Value {
+    let class = |name: &str, effect: &str, value: u64| json!({"name": name, "effect": effect, "give_up": 30_000_000, "on_time": 5_000_000, "value": value});
+    json!({
+        "name": "n3", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "stop_ms": 1_500,
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "settings": {
+            "classes": [class("look", "idempotent", 1), class("seat", "at_most_once", 4)],
+            "limits": {"retry_after": true, "max_retry_after": 1_000_000},
+            "rules": {"answer_slack": 60_000, "cold_from": 0.2, "drain_grace": 500_000, "fall": 2_000_000,
+                      "fall_multiple": 6.0, "ramp_time": 17_000_000},
+            "servers": 3, "tick": 2_000, "worth_by": "request",
+            "specifics": {"below": "one_for_all", "callers": 2, "calls_out": 4.0, "calls_over": 5_000_000,
+                          "class_calls": [true, true], "class_skip_worth": [0.6, 0.0], "cores": 2,
+                          "idle": 30_000_000, "linger": 200_000, "memory_kb": 20_000.0, "run_factor": 4.0,
+                          "own_stats": ["cpu_busy", "runnable", "mem_used", "sockets"]}
+        }
+    })
+}
+
+struct Player {
+    lets: HashMap<String, String>,
+    config: Value,
+    listeners: HashMap<&'static str, TcpListener>,
+    streams: HashMap<String, BufReader<TcpStream>>,
+    child: Option<(Child, SocketAddr, Receiver<String>)>,
+}
+
+impl Drop for Player {
+    fn drop(&mut self) {
+        if let Some((child, ..)) = &mut self.child {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+fn millis() -> i64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis() as i64
+}
+
+impl Player {
+    fn bytes(&self, text: &str) -> Vec<u8> {
+        let mut stack = vec![Vec::new()];
+        let mut rest = text.trim();
+        while let Some(first) = rest.chars().next() {
+            let mut top = stack.pop().expect("brackets match");
+            let end = match first {
+                '"' => 2 + rest[1..].find('"').expect("a closing quote"),
+                '[' | ']' | ' ' => 1,
+                '{' => 1 + rest.find('}').expect("a closing brace"),
+                '$' => rest[1..].find(|c: char| !c.is_alphanumeric()).map_or(rest.len(), |n| n + 1),
+                _ => rest.find([' ', ']', '"']).unwrap_or(rest.len()),
+            };
+            let (word, after) = rest.split_at(end);
+            rest = after;
+            match first {
+                '"' => top.extend_from_slice(&word.as_bytes()[1..word.len() - 1]),
+                ' ' => {}
+                '[' => {
+                    stack.push(top);
+                    top = Vec::new();
+                }
+                ']' => {
+                    let mut outer = stack.pop().expect("brackets match");
+                    outer.extend_from_slice(&(top.len() as u32).to_be_bytes());
+                    outer.extend_from_slice(&top);
+                    top = outer;
+                }
+                '{' => {
+                    let shift = word.trim_matches(['{', '}']).trim_start_matches("now");
+                    let shift: i64 = if shift.is_empty() { 0 } else { shift.parse().expect("a shift") };
+                    top.extend_from_slice((millis() + shift).to_string().as_bytes());
+                }
+                '$' => top.extend(self.bytes(&self.lets[&word[1..]])),
+                _ => {
+                    let (times, pair) = word.split_once('*').unwrap_or(("1", word));
+                    let byte = u8::from_str_radix(pair, 16).expect("a hex pair");
+                    top.extend(vec![byte; times.parse().expect("a count")]);
+                }
+            }
+            stack.push(top);
+        }
+        stack.pop().expect("brackets match")
+    }
+
+    fn start(&mut self) -> SocketAddr {
+        if let Some((_, address, _)) = &self.child {
+            return *address;
+        }
+        for (party, key) in [("runtime", "runtime"), ("store", "store"), ("directory", "lookup")] {
+            let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+            self.config[key] = json!(listener.local_addr().expect("an address").to_string());
+            self.listeners.insert(party, listener);
+        }
+        let file = std::env::temp_dir().join(format!("cleatpulley-{}-{:p}.json", std::process::id(), self));
+        std::fs::write(&file, self.config.to_string()).expect("a file");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_cleatpulley"))
+            .args(["serve", "--config", &file.to_string_lossy()])
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let (sender, log) = channel();
+        let lines = BufReader::new(child.stderr.take().expect("its log is piped")).lines();
+        std::thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| sender.send(line)));
+        let first = log.recv_timeout(PATIENCE).expect("a first line");
+        let address = first.split("listens on ").nth(1).expect("it listens").parse().expect("an address");
+        let _ = std::fs::remove_file(file);
+        self.child = Some((child, address, log));
+        address
+    }
+
+    fn stream(&mut self, party: &str) -> &mut BufReader<TcpStream> {
+        let address = self.start();
+        if !self.streams.contains_key(party) {
+            let stream = match self.listeners.get(party) {
+                Some(listener) => accept(listener),
+                None => TcpStream::connect(address).expect("it listens"),
+            };
+            stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+            stream.set_nodelay(true).expect("no delay");
+            self.streams.insert(party.to_owned(), BufReader::new(stream));
+        }
+        self.streams.get_mut(party).expect("it is there")
+    }
+
+    fn send(&mut self, party: &str, bytes: &[u8]) {
+        self.stream(party).get_mut().write_all(bytes).expect("the program reads");
+    }
+
+    fn expect_line(&mut self, text: &str) {
+        let expected: Value = serde_json::from_str(text).expect("JSON");
+        let since = Instant::now();
+        loop {
+            assert!(since.elapsed() < PATIENCE, "nothing but questions for the gauges came");
+            let mut line = String::new();
+            self.stream("runtime").read_line(&mut line).expect("a line");
+            let value: Value = serde_json::from_str(&line).unwrap_or_else(|e| panic!("{line:?}: {e}"));
+            if value["t"] == "gauges" && expected["t"] != "gauges" {
+                let load = json!({"t": "load", "mark": value["mark"], "v": [0.1, 1, 0.1, 3]});
+                self.send("runtime", format!("{load}\n").as_bytes());
+                continue;
+            }
+            assert_eq!(value, expected);
+            return;
+        }
+    }
+
+    fn expect(&mut self, party: &str, text: &str) {
+        if text == "end" {
+            let mut rest = Vec::new();
+            match self.stream(party).read_to_end(&mut rest) {
+                Err(e) if e.kind() == ErrorKind::ConnectionReset => {}
+                other => assert_eq!((other.expect("an end"), rest), (0, Vec::new())),
+            }
+            self.streams.remove(party);
+        } else if party == "runtime" {
+            self.expect_line(text);
+        } else if party == "store" || party == "directory" {
+            for part in text.replace("\\r\\n", "\r\n").split_inclusive("\r\n") {
+                let mut got = vec![0; part.len()];
+                if part.ends_with("\r\n") {
+                    got.clear();
+                    self.stream(party).read_until(b'\n', &mut got).expect("a line");
+                } else {
+                    self.stream(party).read_exact(&mut got).expect("a body");
+                }
+                let got = String::from_utf8(got).expect("text");
+                let like = part.split_once('*').map_or(got == part, |(begin, _)| got.starts_with(begin));
+                assert!(like, "{got:?} where {part:?} was recorded");
+            }
+        } else {
+            let expected = self.bytes(text);
+            let mut got = vec![0; expected.len()];
+            let stream = self.stream(party);
+            let mut have = 0;
+            while have < got.len() {
+                match stream.read(&mut got[have..]) {
+                    Ok(0) | Err(_) => break,
+                    Ok(n) => have += n,
+                }
+            }
+            assert_eq!(show(&got[..have]), show(&expected));
+        }
+    }
+
+    fn play(&mut self, step: &str) {
+        let (word, rest) = step.split_once(' ').unwrap_or((step, ""));
+        match word {
+            "let" => {
+                let (name, bytes) = rest.split_once(' ').expect("a name and bytes");
+                self.lets.insert(name.to_owned(), bytes.to_owned());
+            }
+            "config" => {
+                let (key, value) = rest.split_once(' ').expect("a key and a value");
+                let place = self.config.pointer_mut(key).expect("a key that is there");
+                *place = serde_json::from_str(value).expect("JSON");
+            }
+            "signal" => {
+                self.start();
+                let id = self.child.as_ref().expect("it runs").0.id().to_string();
+                assert!(Command::new("sh")
+                    .args(["-c", &format!("kill -TERM {id}")])
+                    .status()
+                    .expect("kill")
+                    .success());
+            }
+            "restart" => {
+                let (mut child, ..) = self.child.take().expect("it runs");
+                child.kill().and_then(|()| child.wait()).expect("it is ended");
+                self.streams.clear();
+                self.listeners.clear();
+            }
+            "exit" => {
+                let (child, _, log) = self.child.as_mut().expect("it runs");
+                // Its log ends when it does.
+                while log
+                    .recv_timeout(PATIENCE)
+                    .map_err(|e| assert_eq!(e, RecvTimeoutError::Disconnected))
+                    .is_ok()
+                {}
+                assert_eq!(child.wait().expect("it ends").code(), Some(rest.parse().expect("a code")));
+            }
+            "log" => {
+                let log = &self.child.as_ref().expect("it runs").2;
+                while !log.recv_timeout(PATIENCE).expect("the line is logged").contains(rest) {}
+            }
+            party => match rest.split_once(' ').unwrap_or((rest, "")) {
+                (">", text) if party == "runtime" => self.send(party, format!("{text}\n").as_bytes()),
+                (">", text) if party.starts_with("front") => {
+                    let bytes = self.bytes(text);
+                    self.send(party, &bytes);
+                }
+                (">", text) => self.send(party, text.replace("\\r\\n", "\r\n").as_bytes()),
+                ("<", text) => self.expect(party, text),
+                ("accept", _) => {
+                    self.streams.remove(party);
+                    self.stream(party);
+                }
+                ("close", _) => {
+                    self.streams.remove(party);
+                }
+                ("up", _) => {
+                    let address = self.config["store"].as_str().expect("an address");
+                    let listener = TcpListener::bind(address).expect("the port is free");
+                    self.listeners.insert("store", listener);
+                }
+                ("down", _) => {
+                    self.start();
+                    self.streams.remove(party);
+                    self.listeners.remove(party);
+                }
+                other => panic!("no such step: {other:?}"),
+            },
+        }
+    }
+}
+
+/// Waits for a connection, but not for ever.
+fn accept(listener: &TcpListener) -> TcpStream {
+    listener.set_nonblocking(true).expect("a mode");
+    let since = Instant::now();
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(false).expect("a mode");
+                return stream;
+            }
+            Err(_) => assert!(since.elapsed() < PATIENCE, "the program does not connect"),
+        }
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// Bytes as a failure shows them.
+fn show(bytes: &[u8]) -> String {
+    bytes.escape_ascii().to_string()
+}
+
+fn play(name: &str) {
+    let file = format!("{}/tests/exchanges/{name}.txt", env!("CARGO_MANIFEST_DIR"));
+    let text = std::fs::read_to_string(&file).expect("the file is there");
+    let mut player = Player {
+        lets: HashMap::new(),
+        config: config(),
+        listeners: HashMap::new(),
+        streams: HashMap::new(),
+        child: None,
+    };
+    for (number, line) in text.lines().enumerate() {
+        let step = line.trim();
+        if !step.is_empty() && !step.starts_with('#') {
+            eprintln!("{name}:{}: {step}", number + 1);
+            player.play(step);
+        }
+    }
+    if let Some((child, ..)) = &mut player.child {
+        let code = child.try_wait().expect("its state").map(|status| status.code());
+        assert!(matches!(code, None | Some(Some(0))), "it ended with {code:?}");
+    }
+}
+
+macro_rules! exchanges {
+    ($($name:ident),* $(,)?) => {
+        $(#[test]
+        fn $name() {
+            play(stringify!($name));
+        })*
+
+        /// Guards against a recording that no test plays.
+        #[test]
+        fn every_recording_is_played() {
+            let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/exchanges");
+            let mut files: Vec<_> = std::fs::read_dir(folder)
+                .expect("the folder is there")
+                .map(|entry| entry.expect("an entry").file_name().to_string_lossy().replace(".txt", ""))
+                .collect();
+            files.sort();
+            let mut played = vec![$(stringify!($name)),*];
+            played.sort_unstable();
+            assert_eq!(files, played);
+        }
+    };
+}
+
+exchanges! {
+    bad_input,
+    call_outcomes,
+    drain,
+    due_time,
+    framing,
+    health_and_directory,
+    many_streams,
+    runtime_late,
+    runtime_link,
+    runtime_oddities,
+    serve,
+}
