Make the drain and report recordings independent of the machine's pace

Cause: both took the log line of the signal for the controller's step, which comes up to a tick later.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -187,7 +187,10 @@
             Command::Call { id, body, timeout } => self.store.call(now, id, body, timeout, &mut self.facts),
             Command::Abandon(id) => self.store.abandon(id),
             Command::AskGauges => self.runtime.ask_gauges(),
-            Command::Health(good) => self.front.set_health(good),
+            Command::Health(good) => {
+                log::info!("health checks are answered {}", if good { "good" } else { "bad" });
+                self.front.set_health(good);
+            }
             Command::Feedback(value) => self.front.set_feedback(value),
             Command::CloseIdle(after) => self.front.set_idle(after),
         }
