Read on when a connection holds more than one turn of the loop takes

Cause: Front::turn marked the connection to be read on, and Front::flush, later in the same turn, took the same list and dropped the mark; an edge-triggered socket tells of old bytes only once. Now such connections stand in a list of their own, 'again' (src/net/front.rs). Two more recordings: 'few_descriptors' plays 62 connections against a limit of 40 descriptors, where nothing was at fault, and 'silent_reader' a peer that asks and never reads.

--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -23,7 +23,8 @@
 const OPEN: usize = 32;
 /// Bytes read from a connection in one turn, so that a loud peer blocks nobody.
 const READ_AT_ONCE: usize = 65_536;
-/// A peer that leaves so much unread is not read from: its answers would pile up here.
+/// A peer that leaves so much unread is not read from: its answers would pile up here. What its open requests
+/// still get comes on top.
 const UNREAD: usize = 262_144;
 /// After the word that no new request may come, the front end is left this long to close.
 const PARTING: Micros = 1_000_000;
@@ -93,6 +94,8 @@
     most: usize,
     peers: HashMap<u64, Peer>,
     noted: Vec<u64>,
+    /// Connections with more to read than one turn takes: no edge will tell of it again.
+    again: Vec<u64>,
     numbers: u64,
     acceptable: bool,
     accept_at: Micros,
@@ -136,6 +139,7 @@
             most,
             peers: HashMap::new(),
             noted: Vec::new(),
+            again: Vec::new(),
             numbers: 0,
             acceptable: true,
             accept_at: 0,
@@ -216,6 +220,7 @@
             self.sweep(now);
         }
         let mut noted = std::mem::take(&mut self.noted);
+        noted.append(&mut self.again);
         noted.sort_unstable();
         noted.dedup();
         for number in noted {
@@ -223,7 +228,7 @@
             let context = Context { now, number, classes: &self.classes, good: self.good };
             match peer.serve(&context, self.feedback, facts) {
                 Ok(Next::Wait) => {}
-                Ok(Next::Again) => self.noted.push(number),
+                Ok(Next::Again) => self.again.push(number),
                 Ok(Next::Close) => self.close(number, facts),
                 Err(e) => {
                     log::debug!("front end connection {number}: {e}");
@@ -231,7 +236,7 @@
                 }
             }
         }
-        !self.noted.is_empty() || (self.acceptable && now >= self.accept_at)
+        !self.again.is_empty() || (self.acceptable && now >= self.accept_at)
     }
 
     /// Sends what this turn has answered.
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -5,12 +5,14 @@
 //!
 //! - `front1 > BYTES`, `front1 < BYTES`: a front end's connection, opened with its first step. Bytes are hex
 //!   pairs, `"text"`, `$name` (from `let name BYTES`), `[ ... ]` (its length in four bytes, then itself),
-//!   `N*XX` (a byte N times), and `{now}`, `{now-2500}`: Unix milliseconds when the step is played.
+//!   `N*XX` and `N*$name` (the same N times), and `{now}`, `{now-2500}`: Unix milliseconds when the step is played.
 //! - `runtime > LINE`, `runtime < LINE`: JSON, compared by value. Questions for the gauges are answered by the
 //!   player and not compared. `store` and `directory`: `\r\n` text; a `*` matches the rest of a line's part.
 //! - `PARTY accept`, `PARTY close`, `PARTY < end`: takes the program's next connection, closes one, or waits
 //!   for the program to close it. `store down` refuses connections until `store up`.
-//! - `config KEY JSON` before the first step changes the configuration; `signal`, `exit CODE`, `log TEXT`
+//! - `crowd N` opens N connections that say nothing, `crowd close` closes them. `PARTY flood BYTES` sends the
+//!   same again and again, and reads nothing, until the program takes no more.
+//! - `config KEY JSON` and `descriptors N`, the limit of the process, before the first step change the surroundings; `signal`, `exit CODE`, `log TEXT`
 //!   and `restart` are about the process.
 
 use serde_json::{json, Value};
@@ -46,6 +48,8 @@
 struct Player {
     lets: HashMap<String, String>,
     config: Value,
+    descriptors: u32,
+    crowd: Vec<TcpStream>,
     listeners: HashMap<&'static str, TcpListener>,
     streams: HashMap<String, BufReader<TcpStream>>,
     child: Option<(Child, SocketAddr, Receiver<String>)>,
@@ -100,8 +104,11 @@
                 '$' => top.extend(self.bytes(&self.lets[&word[1..]])),
                 _ => {
                     let (times, pair) = word.split_once('*').unwrap_or(("1", word));
-                    let byte = u8::from_str_radix(pair, 16).expect("a hex pair");
-                    top.extend(vec![byte; times.parse().expect("a count")]);
+                    let once = match pair.strip_prefix('$') {
+                        Some(name) => self.bytes(&self.lets[name]),
+                        None => vec![u8::from_str_radix(pair, 16).expect("a hex pair")],
+                    };
+                    top.extend(once.repeat(times.parse().expect("a count")));
                 }
             }
             stack.push(top);
@@ -120,8 +127,11 @@
         }
         let file = std::env::temp_dir().join(format!("cleatpulley-{}-{:p}.json", std::process::id(), self));
         std::fs::write(&file, self.config.to_string()).expect("a file");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_cleatpulley"))
-            .args(["serve", "--config", &file.to_string_lossy()])
+        let program = env!("CARGO_BIN_EXE_cleatpulley");
+        let line =
+            format!("ulimit -n {}; exec {program} serve --config {}", self.descriptors, file.display());
+        let mut child = Command::new("sh")
+            .args(["-c", &line])
             .stderr(Stdio::piped())
             .spawn()
             .expect("the program starts");
@@ -221,6 +231,12 @@
                 let place = self.config.pointer_mut(key).expect("a key that is there");
                 *place = serde_json::from_str(value).expect("JSON");
             }
+            "descriptors" => self.descriptors = rest.parse().expect("a number"),
+            "crowd" => {
+                let address = self.start();
+                let number = rest.parse().unwrap_or(0);
+                self.crowd = (0..number).map(|_| TcpStream::connect(address).expect("it listens")).collect();
+            }
             "signal" => {
                 self.start();
                 let id = self.child.as_ref().expect("it runs").0.id().to_string();
@@ -258,6 +274,13 @@
                 }
                 (">", text) => self.send(party, text.replace("\\r\\n", "\r\n").as_bytes()),
                 ("<", text) => self.expect(party, text),
+                ("flood", text) => {
+                    let bytes = self.bytes(text).repeat(1_000);
+                    let stream = self.stream(party).get_mut();
+                    stream.set_write_timeout(Some(Duration::from_millis(300))).expect("a time-out");
+                    let taken = (0..10_000).take_while(|_| stream.write_all(&bytes).is_ok()).count();
+                    assert!(taken < 10_000, "the program takes all, though nobody reads its answers");
+                }
                 ("accept", _) => {
                     self.streams.remove(party);
                     self.stream(party);
@@ -308,6 +331,8 @@
     let mut player = Player {
         lets: HashMap::new(),
         config: config(),
+        descriptors: 1_024,
+        crowd: Vec::new(),
         listeners: HashMap::new(),
         streams: HashMap::new(),
         child: None,
@@ -353,11 +378,14 @@
     call_outcomes,
     drain,
     due_time,
+    few_descriptors,
     framing,
     health_and_directory,
+    loud_peer,
     many_streams,
     runtime_late,
     runtime_link,
     runtime_oddities,
     serve,
+    silent_reader,
 }
