Bound what a front end can leave unread to 32 KiB

Seen in review: 928 connections that ask and never read could make the matcher hold 256 KiB each, more than its 192 MB (UNREAD in src/net/front.rs). Checked: with no bound at all 'silent_reader' fails, as the program takes 100 MB of health checks. Answers to open requests come on top; the controller bounds those by the memory that the settings tell.

--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -25,7 +25,7 @@
 const READ_AT_ONCE: usize = 65_536;
 /// A peer that leaves so much unread is not read from: its answers would pile up here. What its open requests
 /// still get comes on top.
-const UNREAD: usize = 262_144;
+const UNREAD: usize = 32_768;
 /// After the word that no new request may come, the front end is left this long to close.
 const PARTING: Micros = 1_000_000;
 /// After our end is closed, what the peer sent before is read away for so long: closing over unread bytes
