Give back the place of a write whose start was lost with the runtime's link

Seen in review: a write in doubt is not started again and no end is told of it if it never ran; answered at its due time, it kept counting as a run and held a core's place for ever (settle and over in src/exchange.rs). Now such a request ends for the controller when it is answered; events that arise while its actions are carried out are kept for the next step, which Exchange::step would have dropped. Checked: the extended test fails without the change (the next request is not started) and passes with it.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -210,6 +210,8 @@
     door: Micros,
     due: Micros,
     answered: bool,
+    /// Its start may never have reached the runtime, and then no end will be told.
+    doubtful: bool,
     stage: Stage,
     /// The request's body; kept beyond the start only where a start may be sent again.
     body: Vec<u8>,
@@ -279,6 +281,7 @@
                     commands.push(Command::Abandon(id));
                 }
                 entry.stage = Stage::AtCall;
+                entry.doubtful = false;
                 entry.notice = notice;
                 entry.call = body;
                 self.events.push(Event::CallNeeded(id));
@@ -395,6 +398,7 @@
         }
         self.actions = actions;
         events.clear();
+        events.append(&mut self.events);
         self.events = events;
     }
 
@@ -418,6 +422,7 @@
             door,
             due,
             answered: false,
+            doubtful: false,
             stage: Stage::Held,
             body,
             notice: 0,
@@ -477,7 +482,7 @@
     /// Settles a command that may or may not have reached the runtime, so that nothing runs twice: a start
     /// again may run again what has run and ended, and a reply again may answer a later call.
     fn settle(&mut self, id: RequestId, order: Order, commands: &mut Vec<Command>) {
-        let Some(entry) = self.entries.get(&id) else { return };
+        let Some(entry) = self.entries.get_mut(&id) else { return };
         let class = &self.settings.classes[entry.class];
         if !matches!(entry.stage, Stage::Running) {
             return;
@@ -486,6 +491,12 @@
             Order::Start if entry.notice == 0 && class.effect == Effect::Safe => {
                 commands.push(Command::Start { id, class: entry.class, body: entry.body.clone() });
             }
+            Order::Start if entry.notice == 0 => {
+                entry.doubtful = true;
+                if entry.answered {
+                    self.over(id, commands);
+                }
+            }
             // Names the call that is left out: harmless where the run has gone on already.
             Order::Omit => commands.push(Command::Omit { id, notice: entry.notice }),
             Order::Give if class.skip_worth > 0.0 => {
@@ -562,6 +573,11 @@
                 entry.stage = Stage::AtCall;
                 commands.push(Command::Abandon(id));
             }
+            Stage::Running if entry.doubtful => {
+                // Guards against a run that never was and would hold its place on the cores for ever.
+                self.entries.remove(&id);
+                self.events.push(Event::RunEnded { id, outcome: Outcome::Withdrawn, elapsed: 0 });
+            }
             Stage::Running | Stage::AtCall => {}
         }
     }
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -196,6 +196,12 @@
         }
         assert_eq!(core.hear(doubt(order)), settled, "class {class}, {order:?}");
     }
+    // A write that was perhaps never started gives its place back when it is answered.
+    let mut core = Core::new(|s| s.cores = 1);
+    core.arrive(1, 1);
+    assert!(core.hear(doubt(Order::Start)).is_empty());
+    assert_eq!(core.pass(8 * SECOND), [answered(1, Answer::Failed)]);
+    assert_eq!(core.arrive(2, 1), [start(2, 1)]);
     // What has gone on since is settled by that.
     let mut core = Core::new(|_| {});
     core.arrive(1, 0);
