Size the store's pool by the descriptors, and say what the crate is now

Seen in review: with 128 descriptors the store's 64 connections and the spare left 32 for front ends, which may open 64 (STORE in src/net/mod.rs). Now the pool takes a sixteenth, within 8 and 64: 88 are left. With 1,024 nothing changes.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,8 @@
-//! An overload controller that lives inside each server of a fleet.
+//! A matcher on real sockets, round an overload controller that lives inside each server of a fleet.
+//!
+//! The decisions are in [`balance`], with the types of [`interface`]. [`exchange`] is the core round them, without
+//! I/O; [`net`] puts it on sockets, [`wire`] puts the controller on a simulator's wire. [`config`] and [`settings`]
+//! read what both are told.
 //!
 //! A [`Controller`] decides for one server which requests it runs, which calls it lets go to what lies below,
 //! and which requests it turns away and when. It has no clock, threads or I/O: the server tells it what has
--- a/src/net/frame.rs
+++ b/src/net/frame.rs
@@ -119,7 +119,7 @@
     Some((fields, rest))
 }
 
-/// Checks that a payload is fields and nothing else matters.
+/// Whether a payload begins with whole fields, of which none is needed.
 #[must_use]
 pub fn is_fields(payload: &[u8]) -> bool {
     fields(payload).is_some()
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -23,8 +23,10 @@
 /// Descriptors that are neither a front end's nor the store's: the loop's own, the listener, the link, the
 /// directory, the log, and some to spare.
 const SPARE: usize = 32;
-/// Connections to the store; its share of calls is far smaller.
-const STORE: usize = 64;
+/// Connections to the store are at most this share of the descriptors, and within these bounds: a matcher's share
+/// of calls is far smaller, and front ends may open connections for half of the descriptors.
+const STORE_SHARE: usize = 16;
+const STORE: std::ops::RangeInclusive<usize> = 8..=64;
 /// Before the stop front ends are told to send no more, while there is time to answer what is on its way.
 const FAREWELL: Micros = 400_000;
 
@@ -82,7 +84,8 @@
     let handle = event_loop.handle();
     let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).map_err(io::Error::other)?;
     handle.insert_source(signals, |_, (), node| node.leave()).map_err(|e| io::Error::other(e.to_string()))?;
-    let most = config.sockets.saturating_sub(SPARE + STORE).max(1);
+    let calls = (config.sockets / STORE_SHARE).clamp(*STORE.start(), *STORE.end());
+    let most = config.sockets.saturating_sub(SPARE + calls).max(1);
     let front = front::Front::listen(handle.clone(), config.listen, config.class_names.clone(), most)
         .map_err(|e| io::Error::new(e.kind(), format!("listen: {}: {e}", config.listen)))?;
     log::info!("{} listens on {}", config.name, front.address());
@@ -94,7 +97,7 @@
         exchange: Exchange::new(config.settings, config.seed),
         front,
         runtime,
-        store: store::Store::new(handle.clone(), config.store, STORE),
+        store: store::Store::new(handle.clone(), config.store, calls),
         directory: directory::Directory::new(handle, config.lookup, &config.name),
         facts: Vec::new(),
         commands: Vec::new(),
