--- a/src/net/runtime.rs
+++ b/src/net/runtime.rs
@@ -57,7 +57,7 @@
     flying: VecDeque<(u64, Outgoing)>,
     handed: u64,
     written: u64,
-    was_up: bool,
+    well: bool,
 }
 
 impl Runtime {
@@ -80,7 +80,7 @@
             flying: VecDeque::new(),
             handed: 0,
             written: 0,
-            was_up: false,
+            well: true,
         }
     }
 
@@ -170,10 +170,11 @@
     /// Sorts the commands of a link that broke: what was not handed over can be sent on the next one, what was
     /// is in doubt until the notices up to then are read.
     fn lose(&mut self, now: Micros, why: &str) {
-        if self.was_up {
-            log::warn!("runtime: link lost: {why}");
+        // Once: the next tries follow each other fast.
+        if self.well {
+            log::warn!("runtime: no link, trying again: {why}");
         }
-        self.was_up = false;
+        self.well = false;
         self.conn = None;
         self.synced = false;
         self.retry_at = now + RETRY;
@@ -239,7 +240,7 @@
             "ready" => {
                 log::info!("runtime: {}, up for {} ms", notice.status, notice.time() / 1_000);
                 self.synced = true;
-                self.was_up = true;
+                self.well = true;
                 facts.push(Fact::Ready(notice.time()));
                 // Answered after all notices that the runtime had for us.
                 self.ask_gauges();
--- a/src/net/store.rs
+++ b/src/net/store.rs
@@ -251,3 +251,39 @@
         Outcome::Broken
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against more connections than the pool may hold; what waits too long was not answered either.
+    #[test]
+    fn calls_beyond_the_pool_wait_and_run_out_of_time() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let event_loop = calloop::EventLoop::try_new().expect("an event loop");
+        let mut store = Store::new(event_loop.handle(), listener.local_addr().expect("an address"), 2);
+        let mut facts = Vec::new();
+        for id in 1..=4 {
+            store.call(0, id, Vec::new(), 1_000 * id, &mut facts);
+        }
+        assert_eq!((store.channels.len(), store.waiting.len()), (2, 2));
+        store.abandon(3);
+        assert_eq!(store.next(), Some(1_000));
+        store.turn(1_500, &mut facts);
+        let told = |facts: &[Fact]| -> Vec<_> {
+            let of = |fact: &Fact| match fact {
+                Fact::CallEnded { id, outcome, elapsed, .. } => (*id, *outcome, *elapsed),
+                other => panic!("{other:?}"),
+            };
+            facts.iter().map(of).collect()
+        };
+        assert_eq!(told(&facts), [(1, Outcome::TimedOut, 1_500)]);
+        assert_eq!((store.channels.len(), store.waiting.len()), (2, 0), "the place is taken by the next");
+        facts.clear();
+        store.turn(4_000, &mut facts);
+        let mut ends = told(&facts);
+        ends.sort_by_key(|end| end.0);
+        assert_eq!(ends, [(2, Outcome::TimedOut, 4_000), (4, Outcome::TimedOut, 4_000)]);
+        assert_eq!((store.channels.len(), store.busy.len()), (0, 0));
+    }
+}
