Read store replies as HTTP means them, and repeat calls that a stale connection lost

A probe printed every odd reply: of 586, replies with two Content-Lengths that disagree (the first was believed), and 1xx replies taken for the final one (parse in src/net/http.rs), so that the call failed and the reply was lost. Now 1xx replies are read past, two lengths are an error, a length is digits only, and a whole reply counts even if the connection broke after it. What can't be read is a Failure for the controller, not a break: the store did answer. A repeatable call on a reused connection that breaks before any byte of a reply is made once more on a fresh one; calls of writes take a fresh connection always, as a reset on a used one does not prove that the call never ran.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -139,6 +139,19 @@
     Failed,
 }
 
+/// A call to what lies below.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Call {
+    /// The request it is made for.
+    pub id: RequestId,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// Abandon it after this time.
+    pub timeout: Micros,
+    /// Making it twice does no harm.
+    pub repeatable: bool,
+}
+
 /// What the exchange wants done.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Command {
@@ -173,14 +186,7 @@
         notice: u64,
     },
     /// Make a call.
-    Call {
-        /// The request it is made for.
-        id: RequestId,
-        /// Its body.
-        body: Vec<u8>,
-        /// Abandon it after this time.
-        timeout: Micros,
-    },
+    Call(Call),
     /// Abandon a request's call.
     Abandon(RequestId),
     /// Ask for the gauges.
@@ -531,7 +537,8 @@
                 let Some(entry) = self.entries.get_mut(&id) else { return };
                 if matches!(entry.stage, Stage::AtCall) && !entry.answered {
                     entry.stage = Stage::Calling;
-                    commands.push(Command::Call { id, body: entry.call.clone(), timeout });
+                    let repeatable = self.settings.classes[entry.class].effect == Effect::Safe;
+                    commands.push(Command::Call(Call { id, body: entry.call.clone(), timeout, repeatable }));
                 }
             }
             Action::SkipCall(id) => {
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -40,10 +40,24 @@
 }
 
 /// Reads the reply at the front of the bytes; `ended` tells that no more will come. None where it is not whole.
+/// Interim replies (1xx) are read past: the final one follows them.
 ///
 /// # Errors
 /// Where no reply can be read.
 pub fn parse(bytes: &[u8], ended: bool) -> Result<Option<Reply>, String> {
+    let mut passed = 0;
+    loop {
+        match parse_one(&bytes[passed..], ended)? {
+            Some(reply) if reply.status < 200 => passed += reply.size,
+            reply => return Ok(reply.map(|reply| Reply { size: passed + reply.size, ..reply })),
+        }
+        if passed > LARGEST_HEAD {
+            return Err("too many interim replies".to_owned());
+        }
+    }
+}
+
+fn parse_one(bytes: &[u8], ended: bool) -> Result<Option<Reply>, String> {
     let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
     let mut response = httparse::Response::new(&mut headers);
     let head = match response.parse(bytes).map_err(|e| format!("no HTTP reply: {e}"))? {
@@ -61,10 +75,8 @@
     if find("Transfer-Encoding").is_some() {
         return Err("a reply in chunks is not spoken here".to_owned());
     }
-    let told = match find("Content-Length") {
-        Some(text) => Some(text.parse::<usize>().map_err(|_| format!("Content-Length is {text:?}"))?),
-        None => (status == 204 || status == 304 || status < 200).then_some(0),
-    };
+    let bare = status == 204 || status == 304 || status < 200;
+    let told = told_length(response.headers)?.or(bare.then_some(0));
     let rest = &bytes[head..];
     let length = told.unwrap_or(rest.len());
     if length > LARGEST_BODY {
@@ -80,6 +92,23 @@
     Ok(Some(Reply { status, not_run, closes, body: rest[..length].to_vec(), size: head + length }))
 }
 
+/// The length that the head tells. Guards against a head that tells two: nobody knows then where the body ends,
+/// and a run must not be given a part of it.
+fn told_length(headers: &[httparse::Header]) -> Result<Option<usize>, String> {
+    let mut told = None;
+    for header in headers.iter().filter(|header| header.name.eq_ignore_ascii_case("Content-Length")) {
+        let text = String::from_utf8_lossy(header.value);
+        let digits = !text.trim().is_empty() && text.trim().bytes().all(|b| b.is_ascii_digit());
+        let length = text.trim().parse().ok().filter(|_| digits);
+        let length = length.ok_or_else(|| format!("Content-Length is {text:?}"))?;
+        if told.is_some_and(|other| other != length) {
+            return Err("the reply tells two lengths".to_owned());
+        }
+        told = Some(length);
+    }
+    Ok(told)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -113,6 +142,19 @@
         assert_eq!(parse(b"HTTP/1.1 204 No\r\n\r\n", false).expect("a reply").expect("whole").size, 19);
     }
 
+    #[test]
+    fn interim_replies_are_read_past() {
+        let text = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n\
+            HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+        for cut in 0..text.len() {
+            assert_eq!(parse(&text[..cut], false), Ok(None), "{cut}");
+        }
+        let reply = parse(text, false).expect("a reply").expect("whole");
+        assert_eq!((reply.status, &reply.body[..], reply.size), (200, &b"ok"[..], text.len()));
+        let endless = b"HTTP/1.1 102 Processing\r\n\r\n".repeat(LARGEST_HEAD / 16);
+        assert!(parse(&endless, false).is_err());
+    }
+
     #[test]
     fn what_is_no_reply_is_an_error() {
         for text in [
@@ -120,6 +162,8 @@
             b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
             b"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n",
             b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: +3\r\n\r\nabc",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabcde",
         ] {
             assert!(parse(text, true).is_err(), "{}", text.escape_ascii());
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -187,7 +187,7 @@
             Command::Start { id, class, body } => self.runtime.start(id, class, &body),
             Command::Give { id, body } => self.runtime.give(id, &body),
             Command::Omit { id, notice } => self.runtime.omit(id, notice),
-            Command::Call { id, body, timeout } => self.store.call(now, id, body, timeout, &mut self.facts),
+            Command::Call(call) => self.store.call(now, call, &mut self.facts),
             Command::Abandon(id) => self.store.abandon(id),
             Command::AskGauges => self.runtime.ask_gauges(),
             Command::Health(good) => {
--- a/src/net/store.rs
+++ b/src/net/store.rs
@@ -2,7 +2,7 @@
 
 use super::conn::Conn;
 use super::{http, line, Handle, Party};
-use crate::exchange::Fact;
+use crate::exchange::{Call, Fact};
 use crate::interface::{Micros, Outcome, RequestId};
 use calloop::Readiness;
 use std::collections::{HashMap, VecDeque};
@@ -12,6 +12,8 @@
 /// An idle connection is dropped well before the store closes it: a call on one that is being closed proves
 /// nothing when it breaks.
 const IDLE: Micros = 5_000_000;
+/// So many idle connections are kept: calls of writes leave more behind than those of reads take up.
+const KEPT: usize = 8;
 /// Bytes of a reply read at once.
 const READ_AT_ONCE: usize = 2_097_152;
 
@@ -19,6 +21,9 @@
     id: RequestId,
     made: Micros,
     until: Micros,
+    body: Vec<u8>,
+    /// Making it twice does no harm, and it was made once at the most.
+    repeatable: bool,
 }
 
 struct Channel {
@@ -28,11 +33,8 @@
     idle_at: Micros,
     /// Bytes of a call may have reached the store.
     connected: bool,
-}
-
-struct Waiting {
-    job: Job,
-    body: Vec<u8>,
+    /// It carried a call before this one.
+    reused: bool,
 }
 
 /// The pool.
@@ -44,7 +46,7 @@
     /// Idle channels; the last was used last.
     idle: Vec<u64>,
     busy: HashMap<RequestId, u64>,
-    waiting: VecDeque<Waiting>,
+    waiting: VecDeque<Job>,
     noted: Vec<u64>,
     numbers: u64,
 }
@@ -67,57 +69,61 @@
     }
 
     /// Makes a call; the one that the request had before is given up.
-    pub fn call(
-        &mut self,
-        now: Micros,
-        id: RequestId,
-        body: Vec<u8>,
-        timeout: Micros,
-        facts: &mut Vec<Fact>,
-    ) {
-        self.abandon(id);
-        let job = Job { id, made: now, until: now + timeout };
-        self.place(now, Waiting { job, body }, facts);
+    pub fn call(&mut self, now: Micros, call: Call, facts: &mut Vec<Fact>) {
+        self.abandon(call.id);
+        let Call { id, body, timeout, repeatable } = call;
+        self.place(now, Job { id, made: now, until: now + timeout, body, repeatable }, facts);
     }
 
-    fn place(&mut self, now: Micros, call: Waiting, facts: &mut Vec<Fact>) {
-        let number = match self.idle.pop() {
+    fn place(&mut self, now: Micros, job: Job, facts: &mut Vec<Fact>) {
+        // Guards against a connection that the store has dropped unseen: its reset does not tell whether the call
+        // ran, so that a call which must not be made twice takes a fresh one.
+        let idle = if job.repeatable { self.idle.pop() } else { None };
+        let number = match idle {
             Some(number) => number,
-            None if self.channels.len() >= self.most => {
-                self.waiting.push_back(call);
-                return;
-            }
-            None => {
-                self.numbers += 1;
-                match Conn::connect(&self.handle, self.address, Party::Store(self.numbers)) {
-                    Ok(conn) => {
-                        let channel = Channel { conn, job: None, idle_at: now, connected: false };
-                        self.channels.insert(self.numbers, channel);
-                        self.numbers
-                    }
-                    Err(e) => {
-                        facts.push(ended(now, &call.job, unconnected(&e)));
-                        return;
-                    }
+            None => match self.connect(now) {
+                Ok(Some(number)) => number,
+                Ok(None) => {
+                    self.waiting.push_back(job);
+                    return;
                 }
-            }
+                Err(e) => {
+                    facts.push(ended(now, &job, unconnected(&e)));
+                    return;
+                }
+            },
         };
         let Some(channel) = self.channels.get_mut(&number) else { return };
-        let wait = call.job.until.saturating_sub(now).div_ceil(1_000).max(1);
-        let headers = [("X-For-Request", line::rid(call.job.id)), ("X-Wait-Ms", wait.to_string())];
+        let wait = job.until.saturating_sub(now).div_ceil(1_000).max(1);
+        let headers = [("X-For-Request", line::rid(job.id)), ("X-Wait-Ms", wait.to_string())];
         let host = self.address.to_string();
-        http::push_request(channel.conn.output(), "POST", "/query", &host, &headers, &call.body);
-        self.busy.insert(call.job.id, number);
-        channel.job = Some(call.job);
+        http::push_request(channel.conn.output(), "POST", "/query", &host, &headers, &job.body);
+        self.busy.insert(job.id, number);
+        channel.job = Some(job);
         self.noted.push(number);
     }
 
+    /// A fresh connection, in the place of an idle one if need be; none where all places are taken by calls.
+    fn connect(&mut self, now: Micros) -> io::Result<Option<u64>> {
+        if self.channels.len() >= self.most {
+            if self.idle.is_empty() {
+                return Ok(None);
+            }
+            self.channels.remove(&self.idle.remove(0));
+        }
+        self.numbers += 1;
+        let conn = Conn::connect(&self.handle, self.address, Party::Store(self.numbers))?;
+        let channel = Channel { conn, job: None, idle_at: now, connected: false, reused: false };
+        self.channels.insert(self.numbers, channel);
+        Ok(Some(self.numbers))
+    }
+
     /// Gives up a request's call by closing its connection. Nothing more is told of it.
     pub fn abandon(&mut self, id: RequestId) {
         if let Some(number) = self.busy.remove(&id) {
             self.channels.remove(&number);
         }
-        self.waiting.retain(|call| call.job.id != id);
+        self.waiting.retain(|job| job.id != id);
     }
 
     /// Takes note of what the event loop saw.
@@ -142,14 +148,14 @@
         for number in late {
             self.fail(now, number, Outcome::TimedOut, facts);
         }
-        while self.waiting.front().is_some_and(|call| now >= call.job.until) {
-            if let Some(call) = self.waiting.pop_front() {
-                facts.push(ended(now, &call.job, Outcome::TimedOut));
+        while self.waiting.front().is_some_and(|job| now >= job.until) {
+            if let Some(job) = self.waiting.pop_front() {
+                facts.push(ended(now, &job, Outcome::TimedOut));
             }
         }
         while !self.waiting.is_empty() && (!self.idle.is_empty() || self.channels.len() < self.most) {
-            if let Some(call) = self.waiting.pop_front() {
-                self.place(now, call, facts);
+            if let Some(job) = self.waiting.pop_front() {
+                self.place(now, job, facts);
             }
         }
         while let Some(&number) = self.idle.first() {
@@ -169,7 +175,7 @@
     #[must_use]
     pub fn next(&self) -> Option<Micros> {
         let jobs = self.channels.values().filter_map(|c| c.job.as_ref().map(|job| job.until));
-        let waiting = self.waiting.front().map(|call| call.job.until);
+        let waiting = self.waiting.front().map(|job| job.until);
         let idle = self.idle.first().and_then(|n| self.channels.get(n)).map(|c| c.idle_at + IDLE);
         jobs.chain(waiting).chain(idle).min()
     }
@@ -184,7 +190,12 @@
             }
             Ok(None) => return,
             Err(e) => {
-                let outcome = if channel.connected { Outcome::Broken } else { unconnected(&e) };
+                let outcome = match e.kind() {
+                    // The store did answer: this says nothing about its load.
+                    ErrorKind::InvalidData => Outcome::Failure,
+                    _ if channel.connected => Outcome::Broken,
+                    _ => unconnected(&e),
+                };
                 self.fail(now, number, outcome, facts);
                 return;
             }
@@ -198,44 +209,56 @@
             (504, _) => Outcome::TimedOut,
             _ => Outcome::Failure,
         };
-        if reply.closes || channel.conn.ended || !channel.conn.input.is_empty() {
+        // Bytes beyond the reply belong to no call: nobody knows what would come before the next reply.
+        let spent = reply.closes || channel.conn.ended || !channel.conn.input.is_empty();
+        if spent || self.idle.len() >= KEPT {
             self.channels.remove(&number);
         } else {
             channel.idle_at = now;
+            channel.reused = true;
             self.idle.push(number);
         }
         let elapsed = now.saturating_sub(job.made);
         facts.push(Fact::CallEnded { id: job.id, outcome, elapsed, reply: reply.body });
     }
 
-    /// Drops a channel; the call that it carried ends so.
+    /// Drops a channel; the call that it carried ends so, or is made again where that is due to the channel.
     fn fail(&mut self, now: Micros, number: u64, outcome: Outcome, facts: &mut Vec<Fact>) {
         let Some(channel) = self.channels.remove(&number) else { return };
         self.idle.retain(|n| *n != number);
-        if let Some(job) = channel.job {
-            self.busy.remove(&job.id);
+        let Some(job) = channel.job else { return };
+        self.busy.remove(&job.id);
+        // Guards against a connection that the store closed or forgot while it was idle: the call most likely
+        // never ran, and it is no sign of a store in trouble. Once: the next connection is a fresh one.
+        let stale = channel.reused && outcome == Outcome::Broken && channel.conn.input.is_empty();
+        if stale && job.repeatable && now < job.until {
+            self.place(now, Job { repeatable: false, ..job }, facts);
+        } else {
             facts.push(ended(now, &job, outcome));
         }
     }
 }
 
 impl Channel {
+    /// Sends what waits and reads the reply, which counts once it is whole, even if the connection broke after it.
     fn exchange(&mut self) -> io::Result<Option<http::Reply>> {
         let conn = &mut self.conn;
         if !self.connected {
             conn.check()?;
         }
-        let sent = conn.flush()?;
-        self.connected |= sent > 0;
-        conn.read(READ_AT_ONCE)?;
-        if self.job.is_none() {
-            return Ok(None);
-        }
-        let reply = http::parse(&conn.input, conn.ended).map_err(io::Error::other)?;
-        if let Some(reply) = &reply {
-            conn.input.drain(..reply.size);
+        let sent = conn.flush();
+        self.connected |= sent.as_ref().is_ok_and(|sent| *sent > 0);
+        let read = conn.read(READ_AT_ONCE);
+        if self.job.is_some() {
+            let reply = http::parse(&conn.input, conn.ended);
+            if let Some(reply) = reply.map_err(|e| io::Error::new(ErrorKind::InvalidData, e))? {
+                conn.input.drain(..reply.size);
+                // Whatever broke shows again with the next use.
+                conn.ended |= sent.is_err() || read.is_err();
+                return Ok(Some(reply));
+            }
         }
-        Ok(reply)
+        sent.and(read).map(|_| None)
     }
 }
 
@@ -264,7 +287,8 @@
         let mut store = Store::new(event_loop.handle(), listener.local_addr().expect("an address"), 2);
         let mut facts = Vec::new();
         for id in 1..=4 {
-            store.call(0, id, Vec::new(), 1_000 * id, &mut facts);
+            let call = Call { id, body: Vec::new(), timeout: 1_000 * id, repeatable: true };
+            store.call(0, call, &mut facts);
         }
         assert_eq!((store.channels.len(), store.waiting.len()), (2, 2));
         store.abandon(3);
@@ -286,4 +310,23 @@
         assert_eq!(ends, [(2, Outcome::TimedOut, 4_000), (4, Outcome::TimedOut, 4_000)]);
         assert_eq!((store.channels.len(), store.busy.len()), (0, 0));
     }
+
+    /// Guards against connections that the store forgot while they were idle: a read's call is made once more on
+    /// a fresh one, and neither the run nor the controller hears of it.
+    #[test]
+    fn a_call_on_a_stale_connection_is_made_again_once() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let event_loop = calloop::EventLoop::try_new().expect("an event loop");
+        let mut store = Store::new(event_loop.handle(), listener.local_addr().expect("an address"), 2);
+        let mut facts = Vec::new();
+        store.call(0, Call { id: 1, body: Vec::new(), timeout: 9_000, repeatable: true }, &mut facts);
+        store.channels.values_mut().for_each(|channel| channel.reused = true);
+        store.fail(10, 1, Outcome::Broken, &mut facts);
+        assert!(facts.is_empty() && store.busy.len() == 1 && store.channels.keys().eq(&[2]));
+        assert_eq!(store.next(), Some(9_000), "the time left is the same");
+        store.channels.values_mut().for_each(|channel| channel.reused = true);
+        store.fail(20, 2, Outcome::Broken, &mut facts);
+        assert!(matches!(facts[..], [Fact::CallEnded { id: 1, outcome: Outcome::Broken, elapsed: 20, .. }]));
+        assert!(store.channels.is_empty() && store.busy.is_empty());
+    }
 }
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use cleatpulley::exchange::{Answer, Arrival, Command, Exchange, Fact, Order, Origin};
+use cleatpulley::exchange::{Answer, Arrival, Call, Command, Exchange, Fact, Order, Origin};
 use cleatpulley::interface::*;
 use common::{settings, MS, SECOND};
 
@@ -102,7 +102,7 @@
     let mut core = Core::new(|_| {});
     core.arrive(1, 1);
     let calls = core.hear(Fact::CallWanted { id: 1, notice: 9, body: vec![1, 2] });
-    assert!(matches!(&calls[..], [Command::Call { id: 1, body, .. }] if *body == [1, 2]), "{calls:?}");
+    assert!(matches!(&calls[..], [Command::Call(Call { id: 1, body, .. })] if *body == [1, 2]), "{calls:?}");
     let reply = |outcome| Fact::CallEnded { id: 1, outcome, elapsed: MS, reply: vec![3] };
     assert_eq!(core.hear(reply(Outcome::Success)), [Command::Give { id: 1, body: vec![3] }]);
     assert!(core.hear(reply(Outcome::Success)).is_empty(), "a call ends once");
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -388,4 +388,5 @@
     runtime_oddities,
     serve,
     silent_reader,
+    store_oddities,
 }
