Read the addresses again on SIGHUP, and move without losing or repeating anything

Now SIGHUP loads the configuration through config.rs again. A faulty one is told in one line and changes nothing. The runtime's link is left once a question for gauges has proved that all commands were read, so that none is in doubt; the next link syncs from the last notice. Calls on their way may end at the old store, and one that is cut off there is made again once where that is harmless. The directory is told at once.

--- a/src/main.rs
+++ b/src/main.rs
@@ -11,7 +11,8 @@
 Usage: cleatpulley <command> [options]
 
 Commands:
-  serve          serve until SIGTERM or SIGINT, then answer what is open and leave
+  serve          serve until SIGTERM or SIGINT, then answer what is open and leave; SIGHUP reads the
+                 addresses of the runtime, the store and the directory again
   check-config   read and check the configuration, and say what it comes to
   version        print the version
 
@@ -45,11 +46,12 @@
     let command = arguments.subcommand().map_err(|e| e.to_string())?;
     match command.as_deref() {
         Some("serve") => {
-            let config = config(arguments)?;
-            cleatpulley::net::serve(config).map_err(|e| e.to_string())
+            let sources = sources(arguments)?;
+            let config = Config::load(&sources)?;
+            cleatpulley::net::serve(config, sources).map_err(|e| e.to_string())
         }
         Some("check-config") => {
-            let config = config(arguments)?;
+            let config = Config::load(&sources(arguments)?)?;
             println!(
                 "{}: listens on {}, runtime {}, store {}, directory {}; {} classes ({}), {} cores, {} sockets",
                 config.name,
@@ -74,7 +76,7 @@
     }
 }
 
-fn config(mut arguments: pico_args::Arguments) -> Result<Config, String> {
+fn sources(mut arguments: pico_args::Arguments) -> Result<Sources, String> {
     let mut option = |key| arguments.opt_value_from_str::<_, String>(key).map_err(|e| e.to_string());
     let sources = Sources {
         file: option("--config")?.map(Into::into),
@@ -82,7 +84,7 @@
         listen: option("--listen")?,
     };
     no_more(arguments)?;
-    Config::load(&sources.or_environment(|key| std::env::var(key).ok()))
+    Ok(sources.or_environment(|key| std::env::var(key).ok()))
 }
 
 fn no_more(arguments: pico_args::Arguments) -> Result<(), String> {
--- a/src/net/directory.rs
+++ b/src/net/directory.rs
@@ -35,6 +35,15 @@
         Self { handle, address, path, conn: None, asked: None, beat_at: 0, said: false, well: true }
     }
 
+    /// The directory is at this address from now on, and is told at once.
+    pub fn relocate(&mut self, now: Micros, address: SocketAddr) {
+        if std::mem::replace(&mut self.address, address) != address {
+            self.conn = None;
+            self.asked = None;
+            self.beat_at = now;
+        }
+    }
+
     /// Takes note of what the event loop saw.
     pub fn note(&mut self, readiness: Readiness) {
         if let Some(conn) = &mut self.conn {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,7 +9,7 @@
 pub mod runtime;
 pub mod store;
 
-use crate::config::Config;
+use crate::config::{Config, Sources};
 use crate::exchange::{Command, Exchange, Fact};
 use crate::interface::Micros;
 use calloop::signals::{Signal, Signals};
@@ -62,6 +62,7 @@
 
 /// A matcher on its sockets.
 pub struct Node {
+    sources: Sources,
     clock: Clock,
     stop: Micros,
     exchange: Exchange,
@@ -75,15 +76,20 @@
     stop_at: Option<Micros>,
 }
 
-/// Serves until the notice to leave has come and its time has passed.
+/// Serves until the notice to leave has come and its time has passed. The sources are read again on SIGHUP.
 ///
 /// # Errors
 /// When the event loop or the listening socket can't be had.
-pub fn serve(config: Config) -> io::Result<()> {
+pub fn serve(config: Config, sources: Sources) -> io::Result<()> {
     let mut event_loop: EventLoop<'static, Node> = EventLoop::try_new().map_err(io::Error::other)?;
     let handle = event_loop.handle();
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).map_err(io::Error::other)?;
-    handle.insert_source(signals, |_, (), node| node.leave()).map_err(|e| io::Error::other(e.to_string()))?;
+    let signals =
+        Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]).map_err(io::Error::other)?;
+    let heard = |event: calloop::signals::Event, (): &mut (), node: &mut Node| match event.signal() {
+        Signal::SIGHUP => node.reload(),
+        _ => node.leave(),
+    };
+    handle.insert_source(signals, heard).map_err(|e| io::Error::other(e.to_string()))?;
     let calls = (config.sockets / STORE_SHARE).clamp(*STORE.start(), *STORE.end());
     let most = config.sockets.saturating_sub(SPARE + calls).max(1);
     let front = front::Front::listen(handle.clone(), config.listen, config.class_names.clone(), most)
@@ -92,6 +98,7 @@
     let runtime =
         runtime::Runtime::new(handle.clone(), config.runtime, config.class_names, config.gauge_names);
     let mut node = Node {
+        sources,
         clock: Clock::new(),
         stop: config.stop,
         exchange: Exchange::new(config.settings, config.seed),
@@ -143,6 +150,24 @@
         }
     }
 
+    /// Reads the configuration again and goes on with the addresses of the other parties in it; the rest of it
+    /// takes hold with the next start. A faulty one changes nothing.
+    fn reload(&mut self) {
+        let config = match Config::load(&self.sources) {
+            Ok(config) => config,
+            Err(fault) => {
+                log::error!("the configuration stays as it was: {fault}");
+                return;
+            }
+        };
+        let now = self.clock.now();
+        let Config { runtime, store, lookup, .. } = config;
+        log::info!("configuration read again: runtime {runtime}, store {store}, directory {lookup}");
+        self.runtime.relocate(now, runtime);
+        self.store.relocate(now, store, &mut self.facts);
+        self.directory.relocate(now, lookup);
+    }
+
     /// All is answered and nobody can ask any more, or it is time.
     fn is_over(&self) -> bool {
         self.stop_at.is_some_and(|at| {
--- a/src/net/runtime.rs
+++ b/src/net/runtime.rs
@@ -9,6 +9,8 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
+/// The old link is left this long after a move, even if the runtime has not proved that it read all commands.
+const LEAVING: Micros = 500_000;
 /// Wait before a link is tried again.
 const RETRY: Micros = 50_000;
 /// No line is longer; what is can't be told apart from what follows it.
@@ -47,9 +49,14 @@
     doubtful: Vec<Sent>,
     barrier: u64,
     retry_at: Micros,
+    /// The link goes to another address than the runtime's: it is left once the load with this mark has come, or
+    /// at this time.
+    leaving: Option<(u64, Micros)>,
     /// The last notice read.
     last: u64,
     marks: u64,
+    /// The last mark that came back.
+    confirmed: u64,
     /// Lines that no byte was sent of yet, which another link may carry.
     queue: VecDeque<Outgoing>,
     /// Lines handed to the system on this link, with their ends in the bytes of the link, until a load proves
@@ -74,8 +81,10 @@
             doubtful: Vec::new(),
             barrier: 0,
             retry_at: 0,
+            leaving: None,
             last: 0,
             marks: 0,
+            confirmed: 0,
             queue: VecDeque::new(),
             flying: VecDeque::new(),
             handed: 0,
@@ -90,6 +99,24 @@
         self.synced
     }
 
+    /// The runtime is at this address from now on. A link that stands is left once all commands that it carried
+    /// are proved to have been read, so that none of them is in doubt; later ones wait for the next link.
+    pub fn relocate(&mut self, now: Micros, address: SocketAddr) {
+        if std::mem::replace(&mut self.address, address) == address {
+            return;
+        }
+        self.retry_at = now;
+        if self.synced {
+            self.ask_gauges();
+            match self.send() {
+                Ok(()) => self.leaving = Some((self.marks, now + LEAVING)),
+                Err(e) => self.lose(now, &e.to_string()),
+            }
+        } else {
+            self.conn = None;
+        }
+    }
+
     /// Starts a run.
     pub fn start(&mut self, id: RequestId, class: usize, body: &[u8]) {
         let route = self.routes.get(class).map_or("", String::as_str);
@@ -136,6 +163,11 @@
         let ended = conn.ended;
         self.read_lines(facts);
         let sent = self.send();
+        if self.leaving.is_some_and(|(mark, until)| mark <= self.confirmed || now >= until) {
+            self.lose(now, "the runtime has moved");
+            self.retry_at = now;
+            return true;
+        }
         match (read, sent) {
             (Ok(more), Ok(())) if !ended => more,
             (Err(e), _) | (_, Err(e)) => {
@@ -152,7 +184,10 @@
     /// When the link is to be tried again.
     #[must_use]
     pub fn next(&self) -> Option<Micros> {
-        self.conn.is_none().then_some(self.retry_at)
+        if self.conn.is_none() {
+            return Some(self.retry_at);
+        }
+        self.leaving.map(|(_, until)| until)
     }
 
     fn connect(&mut self, now: Micros) {
@@ -176,6 +211,7 @@
         }
         self.well = false;
         self.conn = None;
+        self.leaving = None;
         self.synced = false;
         self.retry_at = now + RETRY;
         for (end, outgoing) in std::mem::take(&mut self.flying).into_iter().rev() {
@@ -192,8 +228,8 @@
     /// Hands over lines one after the other, as far as the system takes them.
     fn send(&mut self) -> std::io::Result<()> {
         let Some(conn) = &mut self.conn else { return Ok(()) };
-        // Nothing but `sync` is sent before the runtime is up.
-        while self.synced {
+        // Nothing but `sync` is sent before the runtime is up, and nothing more on a link that is being left.
+        while self.synced && self.leaving.is_none() {
             let Some(outgoing) = self.queue.pop_front() else { break };
             conn.output().extend_from_slice(&outgoing.line);
             self.handed += outgoing.line.len() as u64;
@@ -302,6 +338,7 @@
 
     /// The runtime has read all lines up to the one with this mark.
     fn confirm(&mut self, mark: u64, facts: &mut Vec<Fact>) {
+        self.confirmed = self.confirmed.max(mark);
         if let Some(place) = self.flying.iter().position(|(_, o)| o.mark == Some(mark)) {
             self.flying.drain(..=place);
         }
--- a/src/net/store.rs
+++ b/src/net/store.rs
@@ -28,12 +28,13 @@
 
 struct Channel {
     conn: Conn,
+    address: SocketAddr,
     job: Option<Job>,
     /// When it became idle.
     idle_at: Micros,
     /// Bytes of a call may have reached the store.
     connected: bool,
-    /// It carried a call before this one.
+    /// It carried a call before this one, or leads to where the store was: its end says nothing about a call.
     reused: bool,
 }
 
@@ -113,7 +114,8 @@
         }
         self.numbers += 1;
         let conn = Conn::connect(&self.handle, self.address, Party::Store(self.numbers))?;
-        let channel = Channel { conn, job: None, idle_at: now, connected: false, reused: false };
+        let (address, job) = (self.address, None);
+        let channel = Channel { conn, address, job, idle_at: now, connected: false, reused: false };
         self.channels.insert(self.numbers, channel);
         Ok(Some(self.numbers))
     }
@@ -126,6 +128,24 @@
         self.waiting.retain(|job| job.id != id);
     }
 
+    /// The store is at this address from now on. Calls on their way may still be answered at the old one; those
+    /// that no byte was sent of are made at the new one.
+    pub fn relocate(&mut self, now: Micros, address: SocketAddr, facts: &mut Vec<Fact>) {
+        if std::mem::replace(&mut self.address, address) == address {
+            return;
+        }
+        for number in std::mem::take(&mut self.idle) {
+            self.channels.remove(&number);
+        }
+        let unsent: Vec<_> = self.channels.iter().filter(|(_, c)| !c.connected).map(|(n, _)| *n).collect();
+        self.channels.values_mut().for_each(|channel| channel.reused = true);
+        for number in unsent {
+            let Some(job) = self.channels.remove(&number).and_then(|channel| channel.job) else { continue };
+            self.busy.remove(&job.id);
+            self.place(now, job, facts);
+        }
+    }
+
     /// Takes note of what the event loop saw.
     pub fn note(&mut self, number: u64, readiness: Readiness) {
         if let Some(channel) = self.channels.get_mut(&number) {
@@ -211,7 +231,7 @@
         };
         // Bytes beyond the reply belong to no call: nobody knows what would come before the next reply.
         let spent = reply.closes || channel.conn.ended || !channel.conn.input.is_empty();
-        if spent || self.idle.len() >= KEPT {
+        if spent || channel.address != self.address || self.idle.len() >= KEPT {
             self.channels.remove(&number);
         } else {
             channel.idle_at = now;
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -12,6 +12,8 @@
 //!   for the program to close it. `store down` refuses connections until `store up`.
 //! - `crowd N` opens N connections that say nothing, `crowd close` closes them. `PARTY flood BYTES` sends the
 //!   same again and again, and reads nothing, until the program takes no more.
+//! - `reload` gives runtime, store and directory new addresses and sends SIGHUP, `reload TEXT` puts that text in
+//!   the place of the configuration; connections to the old addresses stay until `accept` or their end.
 //! - `config KEY JSON` and `descriptors N`, the limit of the process, before the first step change the surroundings; `signal`, `exit CODE`, `log TEXT`
 //!   and `restart` are about the process.
 
@@ -19,6 +21,7 @@
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -51,6 +54,7 @@
     descriptors: u32,
     crowd: Vec<TcpStream>,
     listeners: HashMap<&'static str, TcpListener>,
+    file: PathBuf,
     streams: HashMap<String, BufReader<TcpStream>>,
     child: Option<(Child, SocketAddr, Receiver<String>)>,
 }
@@ -61,6 +65,7 @@
             let _ = child.kill();
             let _ = child.wait();
         }
+        let _ = std::fs::remove_file(&self.file);
     }
 }
 
@@ -120,13 +125,8 @@
         if let Some((_, address, _)) = &self.child {
             return *address;
         }
-        for (party, key) in [("runtime", "runtime"), ("store", "store"), ("directory", "lookup")] {
-            let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-            self.config[key] = json!(listener.local_addr().expect("an address").to_string());
-            self.listeners.insert(party, listener);
-        }
-        let file = std::env::temp_dir().join(format!("cleatpulley-{}-{:p}.json", std::process::id(), self));
-        std::fs::write(&file, self.config.to_string()).expect("a file");
+        self.listen();
+        let file = &self.file;
         let program = env!("CARGO_BIN_EXE_cleatpulley");
         let line =
             format!("ulimit -n {}; exec {program} serve --config {}", self.descriptors, file.display());
@@ -140,11 +140,26 @@
         std::thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| sender.send(line)));
         let first = log.recv_timeout(PATIENCE).expect("a first line");
         let address = first.split("listens on ").nth(1).expect("it listens").parse().expect("an address");
-        let _ = std::fs::remove_file(file);
         self.child = Some((child, address, log));
         address
     }
 
+    /// New addresses for all parties but the program, and a configuration that tells of them.
+    fn listen(&mut self) {
+        for (party, key) in [("runtime", "runtime"), ("store", "store"), ("directory", "lookup")] {
+            let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+            self.config[key] = json!(listener.local_addr().expect("an address").to_string());
+            self.listeners.insert(party, listener);
+        }
+        std::fs::write(&self.file, self.config.to_string()).expect("a file");
+    }
+
+    fn signal(&mut self, name: &str) {
+        self.start();
+        let line = format!("kill -{name} {}", self.child.as_ref().expect("it runs").0.id());
+        assert!(Command::new("sh").args(["-c", &line]).status().expect("kill").success());
+    }
+
     fn stream(&mut self, party: &str) -> &mut BufReader<TcpStream> {
         let address = self.start();
         if !self.streams.contains_key(party) {
@@ -164,12 +179,18 @@
     }
 
     fn expect_line(&mut self, text: &str) {
-        let expected: Value = serde_json::from_str(text).expect("JSON");
+        let expected: Value =
+            if text == "end" { json!("end") } else { serde_json::from_str(text).expect("JSON") };
         let since = Instant::now();
         loop {
             assert!(since.elapsed() < PATIENCE, "nothing but questions for the gauges came");
             let mut line = String::new();
-            self.stream("runtime").read_line(&mut line).expect("a line");
+            let read = self.stream("runtime").read_line(&mut line);
+            if text == "end" && !read.as_ref().is_ok_and(|n| *n > 0) {
+                self.streams.remove("runtime");
+                return;
+            }
+            read.expect("a line");
             let value: Value = serde_json::from_str(&line).unwrap_or_else(|e| panic!("{line:?}: {e}"));
             if value["t"] == "gauges" && expected["t"] != "gauges" {
                 let load = json!({"t": "load", "mark": value["mark"], "v": [0.1, 1, 0.1, 3]});
@@ -182,7 +203,7 @@
     }
 
     fn expect(&mut self, party: &str, text: &str) {
-        if text == "end" {
+        if text == "end" && party != "runtime" {
             let mut rest = Vec::new();
             match self.stream(party).read_to_end(&mut rest) {
                 Err(e) if e.kind() == ErrorKind::ConnectionReset => {}
@@ -237,14 +258,13 @@
                 let number = rest.parse().unwrap_or(0);
                 self.crowd = (0..number).map(|_| TcpStream::connect(address).expect("it listens")).collect();
             }
-            "signal" => {
-                self.start();
-                let id = self.child.as_ref().expect("it runs").0.id().to_string();
-                assert!(Command::new("sh")
-                    .args(["-c", &format!("kill -TERM {id}")])
-                    .status()
-                    .expect("kill")
-                    .success());
+            "signal" => self.signal("TERM"),
+            "reload" => {
+                match rest {
+                    "" => self.listen(),
+                    text => std::fs::write(&self.file, text).expect("a file"),
+                }
+                self.signal("HUP");
             }
             "restart" => {
                 let (mut child, ..) = self.child.take().expect("it runs");
@@ -334,6 +354,7 @@
         descriptors: 1_024,
         crowd: Vec::new(),
         listeners: HashMap::new(),
+        file: std::env::temp_dir().join(format!("cleatpulley-{}-{name}.json", std::process::id())),
         streams: HashMap::new(),
         child: None,
     };
@@ -383,6 +404,7 @@
     health_and_directory,
     loud_peer,
     many_streams,
+    reload,
     runtime_late,
     runtime_link,
     runtime_oddities,
