Give up the places of silent and idle connections, and read nothing after a broken frame

The log showed 7,700 faults, most of them from clients that go on after theirs. Lines at fault, all in src/net/front.rs: Front::accept left front ends in the backlog at the bound, take_frames had no bound on the time to a whole frame, fault read on after errors of the framing and logged each one. Now a frame must be whole within 2 s, silent connections make room where no place is left, the longest idle are told to close from three quarters of the places on, and a connection is read no further after an error of its framing or a second after the goodbye. One line is logged a connection.

--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -33,6 +33,15 @@
 const LINGER: Micros = 2_000_000;
 /// How often idle and parting connections are looked for.
 const SWEEP: Micros = 100_000;
+/// A frame that began, or the first one of a connection, has to be whole after this time.
+const SILENCE: Micros = 2_000_000;
+/// Beyond this share of the places, idle connections are told to close, the longest idle first.
+const CROWDED: f64 = 0.75;
+/// An idle connection that carried something so lately is not told so: its front end may be about to use it.
+const WARM: Micros = 300_000;
+/// Where no place is left, a connection that was accepted or told to close so lately keeps its place: what it
+/// sent may be on its way.
+const FAIR: Micros = 50_000;
 /// Runs of used streams that are remembered for each connection.
 const RUNS: usize = 64;
 
@@ -83,6 +92,10 @@
     skip: usize,
     /// When a frame last came or went.
     used: Micros,
+    /// Since when the rest of a frame is waited for, or the first one.
+    waits: Option<Micros>,
+    /// A whole frame has come.
+    spoken: bool,
 }
 
 /// The listener and its connections.
@@ -215,10 +228,7 @@
 
     /// Accepts, reads, sends and closes. True when more can be read at once.
     pub fn turn(&mut self, now: Micros, facts: &mut Vec<Fact>) -> bool {
-        self.accept(now);
-        if now >= self.sweep_at {
-            self.sweep(now);
-        }
+        self.accept(now, facts);
         let mut noted = std::mem::take(&mut self.noted);
         noted.append(&mut self.again);
         noted.sort_unstable();
@@ -236,6 +246,10 @@
                 }
             }
         }
+        // After what has come was read: a pause of the machine is no silence.
+        if now >= self.sweep_at {
+            self.sweep(now);
+        }
         !self.again.is_empty() || (self.acceptable && now >= self.accept_at)
     }
 
@@ -273,14 +287,34 @@
         }
     }
 
-    fn accept(&mut self, now: Micros) {
+    /// Gives up the place of a connection that owes nothing, if there is one: first those that only wait for
+    /// their end, then those that never sent a whole frame, the oldest first. Guards against clients that take
+    /// all places and say nothing, while front ends wait to be accepted.
+    fn make_room(&mut self, now: Micros, facts: &mut Vec<Fact>) -> bool {
+        let spare = |(number, peer): (&u64, &Peer)| {
+            let (rank, since) = match peer.state {
+                _ if !peer.open.is_empty() => return None,
+                State::Lingering(since) => (0, since),
+                State::Parting(since) => (1, since),
+                State::Lost => (1, peer.used),
+                State::Open if !peer.spoken => (2, peer.waits.unwrap_or(now)),
+                State::Open => return None,
+            };
+            (now >= since + FAIR).then_some((rank, since, *number))
+        };
+        let Some((_, _, number)) = self.peers.iter().filter_map(spare).min() else { return false };
+        self.close(number, facts);
+        true
+    }
+
+    fn accept(&mut self, now: Micros, facts: &mut Vec<Fact>) {
         if !self.acceptable || now < self.accept_at {
             return;
         }
         for _ in 0..ACCEPTS {
             // Those beyond the bound wait with the system, where they cost us nothing.
-            if self.peers.len() >= self.most {
-                self.acceptable = false;
+            if self.peers.len() >= self.most && !self.make_room(now, facts) {
+                self.accept_at = now + ACCEPT_PAUSE;
                 return;
             }
             let Some((listener, _)) = &self.listener else {
@@ -302,6 +336,7 @@
                 Err(e) => {
                     // Guards against a loop at full speed while descriptors are short.
                     log::warn!("no connection accepted for a while: {e}");
+                    self.make_room(now, facts);
                     self.accept_at = now + ACCEPT_PAUSE;
                     return;
                 }
@@ -317,6 +352,8 @@
                         open: BTreeSet::new(),
                         skip: 0,
                         used: now,
+                        waits: Some(now),
+                        spoken: false,
                     };
                     if self.parting {
                         peer.part(now);
@@ -335,16 +372,37 @@
     }
 
     fn sweep(&mut self, now: Micros) {
+        let paused = now >= self.sweep_at + SILENCE / 2;
         self.sweep_at = now + SWEEP;
         for (number, peer) in &mut self.peers {
-            let idle = self.idle.is_some_and(|after| now >= peer.used + after);
-            if idle && peer.state == State::Open && peer.open.is_empty() {
+            if paused && peer.waits.is_some() {
+                peer.waits = Some(now);
+            }
+            if peer.state == State::Open && peer.waits.is_some_and(|since| now >= since + SILENCE) {
+                log::debug!("front end connection {number}: no whole frame in time");
+                peer.give_up("no whole frame in time");
+            }
+            if peer.is_idle() && self.idle.is_some_and(|after| now >= peer.used + after) {
                 peer.part(now);
             }
             if peer.state != State::Open {
                 self.noted.push(*number);
             }
         }
+        let crowd = (CROWDED * self.most as f64) as usize;
+        let going = self.peers.values().filter(|peer| peer.state != State::Open).count();
+        let excess = (self.peers.len() - going).saturating_sub(crowd);
+        if excess > 0 {
+            let idle = |(number, peer): (&u64, &Peer)| {
+                (peer.is_idle() && now >= peer.used + WARM).then_some((peer.used, *number))
+            };
+            let mut idle: Vec<_> = self.peers.iter().filter_map(idle).collect();
+            idle.sort_unstable();
+            for (_, number) in idle.into_iter().take(excess) {
+                self.peers.get_mut(&number).into_iter().for_each(|peer| peer.part(now));
+                self.noted.push(number);
+            }
+        }
     }
 }
 
@@ -395,6 +453,17 @@
         over && self.open.is_empty() && self.conn.unsent() == 0
     }
 
+    /// Nothing is open on it and nothing on its way, though it has been used.
+    fn is_idle(&self) -> bool {
+        self.state == State::Open && self.spoken && self.waits.is_none() && self.open.is_empty()
+    }
+
+    /// Nothing more is read; what is open is still answered.
+    fn give_up(&mut self, what: &str) {
+        frame::push_error(self.conn.output(), what);
+        self.state = State::Lost;
+    }
+
     fn part(&mut self, now: Micros) {
         if self.state == State::Open {
             frame::push_goodbye(self.conn.output());
@@ -405,6 +474,7 @@
     fn take_frames(&mut self, context: &Context, feedback: Option<f64>, facts: &mut Vec<Fact>) {
         let input = std::mem::take(&mut self.conn.input);
         let mut used = 0;
+        let mut whole = false;
         while used < input.len() {
             let rest = &input[used..];
             if matches!(self.state, State::Lost | State::Lingering(_)) {
@@ -413,12 +483,13 @@
                 let passed = self.skip.min(rest.len());
                 self.skip -= passed;
                 used += passed;
+                whole |= self.skip == 0;
             } else {
                 match frame::parse(rest) {
                     Parsed::Short => break,
                     Parsed::Frame { kind, stream, payload } => {
                         used += payload.end;
-                        self.used = context.now;
+                        whole = true;
                         self.take_frame(kind, stream, Some(&rest[payload]), context, feedback, facts);
                     }
                     Parsed::Large { kind, stream, whole } => {
@@ -427,11 +498,18 @@
                     }
                     Parsed::Lost(length) => {
                         self.fault(context, 0, &format!("no frame has the length {length}"));
-                        self.state = State::Lost;
                     }
                 }
             }
         }
+        if whole {
+            self.spoken = true;
+            self.used = context.now;
+            self.waits = None;
+        }
+        if used < input.len() || self.skip > 0 {
+            self.waits = self.waits.or(Some(context.now));
+        }
         self.conn.input = input;
         self.conn.input.drain(..used);
     }
@@ -451,6 +529,11 @@
             frame::REQUEST if !self.streams.take(stream) => {
                 self.fault(context, 0, &format!("stream {stream} was used before"));
             }
+            // Guards against a client that goes on as if it had not been told to stop.
+            frame::REQUEST if matches!(self.state, State::Parting(since) if context.now >= since + PARTING) =>
+            {
+                self.fault(context, 0, "a request long after the word that none may come");
+            }
             frame::REQUEST if self.open.len() >= OPEN => {
                 self.fault(context, stream, "too many open requests");
             }
@@ -474,16 +557,19 @@
         }
     }
 
-    /// Answers what can't be served: the request where there is one, else the connection. It is closed when
-    /// its other requests are answered.
+    /// Answers what can't be served: the request where there is one, and the connection gets no new ones; else
+    /// nothing more is read from it. It is closed when its other requests are answered.
     fn fault(&mut self, context: &Context, stream: u32, what: &str) {
-        log::warn!("front end connection {}: {what}", context.number);
+        // Once a connection: the next faults come as fast as they can be sent.
+        if self.state == State::Open {
+            log::warn!("front end connection {}: {what}", context.number);
+        }
         if stream == 0 {
-            frame::push_error(self.conn.output(), what);
+            self.give_up(what);
         } else {
             frame::push_answer(self.conn.output(), stream, &Answer::Failed, None);
+            self.part(context.now);
         }
-        self.part(context.now);
     }
 }
 
@@ -507,6 +593,9 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use std::net::TcpStream;
+
+    const SECOND: Micros = 1_000_000;
 
     #[test]
     fn each_stream_is_taken_once_in_any_order() {
@@ -542,4 +631,71 @@
         assert_eq!(streams.0.len(), RUNS);
         assert!(!streams.take(2), "what was forgotten counts as used");
     }
+
+    /// Connections of a front that holds at most so many, and their other ends.
+    fn crowd(
+        most: usize,
+        number: usize,
+    ) -> (calloop::EventLoop<'static, super::super::Node>, Front, Vec<TcpStream>) {
+        let event_loop = calloop::EventLoop::try_new().expect("an event loop");
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut front = Front::listen(event_loop.handle(), address, Vec::new(), most).expect("a port");
+        let ends = (0..number).map(|_| TcpStream::connect(front.address()).expect("it listens")).collect();
+        front.turn(1, &mut Vec::new());
+        (event_loop, front, ends)
+    }
+
+    fn numbers(front: &Front) -> Vec<u64> {
+        let mut numbers: Vec<_> = front.peers.keys().copied().collect();
+        numbers.sort_unstable();
+        numbers
+    }
+
+    /// Guards against clients that take all places and say nothing.
+    #[test]
+    fn the_silent_longest_makes_room_where_no_place_is_left() {
+        let (_event_loop, mut front, _ends) = crowd(2, 3);
+        assert_eq!(numbers(&front), [1, 2], "what was accepted just now keeps its place");
+        front.peers.get_mut(&1).expect("it stands").spoken = true;
+        front.turn(1 + ACCEPT_PAUSE, &mut Vec::new());
+        assert_eq!(numbers(&front), [1, 3]);
+        // A request that is open is never given up for a place.
+        front.peers.get_mut(&3).expect("it stands").open.insert(1);
+        let _end = TcpStream::connect(front.address()).expect("it listens");
+        front.note_listener();
+        front.turn(SECOND, &mut Vec::new());
+        assert_eq!(numbers(&front), [1, 3]);
+    }
+
+    /// Guards against clients that ask once and hold their connection for good; those in use pay nothing.
+    #[test]
+    fn the_idle_longest_are_told_to_close_while_places_run_short() {
+        let (_event_loop, mut front, _ends) = crowd(9, 8);
+        for (number, peer) in &mut front.peers {
+            (peer.spoken, peer.waits, peer.used) = (true, None, *number);
+        }
+        front.peers.get_mut(&1).expect("it stands").open.insert(1);
+        front.turn(SECOND, &mut Vec::new());
+        let parting = |front: &Front| {
+            let mut parting: Vec<_> =
+                front.peers.iter().filter(|(_, peer)| peer.state != State::Open).map(|(n, _)| *n).collect();
+            parting.sort_unstable();
+            parting
+        };
+        assert_eq!(parting(&front), [2, 3]);
+        front.turn(SECOND + SWEEP, &mut Vec::new());
+        assert_eq!(parting(&front), [2, 3], "six of nine places are no crowd");
+    }
+
+    /// Guards against taking a pause of the machine for silence.
+    #[test]
+    fn a_pause_is_no_silence() {
+        let (_event_loop, mut front, _ends) = crowd(8, 2);
+        front.turn(9 * SECOND, &mut Vec::new());
+        assert!(front.peers.values().all(|peer| peer.state == State::Open));
+        for turn in 1..=20 {
+            front.turn(9 * SECOND + turn * SWEEP, &mut Vec::new());
+        }
+        assert!(front.peers.values().all(|peer| peer.state != State::Open));
+    }
 }
