Tell each caller of all that fits here, and not of an equal share

Line at fault: Controller::advertise in src/balance.rs divided twice the lanes by the number of callers. Few front ends send most, so that those were shut out at three requests each while the others left their share unused.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -56,6 +56,8 @@
 const RANKED: usize = 64;
 /// Least chance that callers are asked to leave us: with none, a recovered server would hear of nobody.
 const ADVERT_FLOOR: f64 = 0.1;
+/// Requests for each lane that one caller may have here: one that runs and one that is on its way or waits.
+const ROUNDS: f64 = 2.0;
 /// The advertised value is renewed when it has moved by this much.
 const ADVERT_STEP: f64 = 0.03;
 
@@ -615,7 +617,9 @@
             Advert::Unused => return,
             Advert::Weight => welcome,
             Advert::Floor => (1.0 - welcome) * (1.0 - 1.0 / bands),
-            Advert::Allowance => welcome * 2.0 * self.lanes() / f64::from(self.settings.callers.max(1)),
+            // For each caller all that fits: few callers send most, and a fixed share would shut them out of cores
+            // that the others leave idle. What they send too much together lowers the welcome.
+            Advert::Allowance => welcome * ROUNDS * self.lanes(),
         };
         actions.push(Action::Advertise(value));
     }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -269,6 +269,20 @@
     assert!(said.last().is_some_and(|value| *value > 0.95));
 }
 
+/// Guards against shutting out the few callers that send most: their number says nothing about each one's share.
+#[test]
+fn one_caller_may_use_all_that_others_leave_idle() {
+    let said = |callers| -> Vec<f64> {
+        let advert = Advert::Allowance;
+        let mut script = Script::new(Settings { cold_start: true, advert, callers, ..settings() });
+        let actions = script.pass(10 * SECOND);
+        actions.iter().filter_map(|a| if let Action::Advertise(v) = a { Some(*v) } else { None }).collect()
+    };
+    assert_eq!(said(1), said(50));
+    // Two cores, twice.
+    assert_eq!(said(50).last(), Some(&4.0));
+}
+
 #[test]
 fn a_crowd_at_calls_holds_off_its_like_and_not_the_more_worthy() {
     let mut settings = settings();
