Tell a lost reply from a slow store: bounded waits, one silent call forgiven, beliefs fade

A probe printed the gate: calls took 1 to 3 ms, but a call that is never answered held its place till its due time, two in a row put the latency at 0.5 s and the bound to 1, and with all calls left out nothing put that right (call, adjust and call_ended of src/balance.rs). Two latencies of 2 and 5 ms also counted as faltering. Now a reply is waited for eight latencies, at least two periods, and that to a write till its aim; one call without a reply, or any while a later one was answered, is no trouble below; without calls the latency nears the usual; and latencies within a period do not falter.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -26,6 +26,11 @@
 const USUAL_SMOOTH: f64 = 0.002;
 /// Call latencies for which no call is made after one failed: one that is down gets no storm of repeats.
 const CALL_PAUSE: f64 = 2.0;
+/// Call latencies, and two periods at the least, for which the reply to a call is waited for.
+const CALL_PATIENCE: f64 = 8.0;
+/// Weight by which the latency nears the usual in a call latency without any call: a belief that keeps calls from
+/// being made would otherwise never be put right.
+const LATENCY_FADE: f64 = 0.25;
 /// Share of its span for which the calls' mean may run ahead: little beside what the mean forgives.
 const BURST_SHARE: f64 = 0.1;
 /// Share of a run's time that its hint stands for: waits do not grow with work, and hints are rough.
@@ -114,6 +119,8 @@
     /// Calls in hand that are ours as a mean over `span`.
     share: f64,
     span: Micros,
+    /// Decisions are no closer than this: shorter latencies differ by chance.
+    period: Micros,
     /// Call time that the share, less a margin, still allows, in microseconds.
     budget: f64,
     sqlen: f64,
@@ -125,6 +132,12 @@
     usual: f64,
     falters: bool,
     halved_at: Micros,
+    /// Calls that ended without any word from below since the last that had one, and when the latest of those that
+    /// had one was made.
+    unheard: u32,
+    heard: Micros,
+    /// When a call was last in hand, or its trace faded.
+    idle_from: Micros,
     /// No call is made before this time.
     paused_until: Micros,
     /// Start and end of the calls of the last span; an abandoned one ends when it has left the hands below.
@@ -192,7 +205,7 @@
             entries: BTreeMap::new(),
             paces: settings.classes.iter().map(pace).collect(),
             tries: vec![0.0; settings.tenants.len().max(1)],
-            gate: Gate::new(&settings),
+            gate: Gate::new(&settings, period),
             run_limit: f64::from(settings.cores.max(1)),
             runnable: None,
             progress: 0,
@@ -675,7 +688,12 @@
         let Some(record) = self.requests.get_mut(&id) else { return };
         record.stage = Stage::Calling;
         record.called = self.now;
-        let left = record.due.saturating_sub(self.now + self.period).max(1);
+        // A reply so late is lost, not late. What must not be made again is given up for good, and so not before
+        // its answer would be worth nothing.
+        let safe = self.settings.classes[record.class].effect == Effect::Safe;
+        let patience = (CALL_PATIENCE * self.gate.latency).max(2.0 * self.period as f64) as Micros;
+        let patience = patience.max(if safe { 0 } else { record.aim.saturating_sub(self.now) });
+        let left = record.due.saturating_sub(self.now + self.period).min(patience).max(1);
         let linger = self.settings.linger;
         let allowed = self.gate.allowance(self.now).map_or(left, |t| (t as Micros).saturating_sub(linger));
         actions.push(Action::Call { id, timeout: left.min(allowed).max(1) });
@@ -835,7 +853,7 @@
 }
 
 impl Gate {
-    fn new(settings: &Settings) -> Self {
+    fn new(settings: &Settings, period: Micros) -> Self {
         let cores = f64::from(settings.cores.max(1));
         let (share, span, start) = match settings.below {
             Below::Shared { share, span } => (MARGIN * share.max(0.0), span, 1.0),
@@ -843,7 +861,7 @@
         };
         let aim = settings.classes.iter().map(|class| class.aim).min().unwrap_or(0);
         let latency = (GAP_FLOOR * aim as f64).max(1.0);
-        Self { bound: start.min(share.max(1.0)), share, span, latency, ..Self::default() }
+        Self { bound: start.min(share.max(1.0)), share, span, period, latency, ..Self::default() }
     }
 
     /// A gap holds off the least worth for twice its length and the most for hardly any: the paper's first
@@ -894,6 +912,15 @@
         if !self.falters {
             phi = phi.min(1.0);
         }
+        if in_hand > 0 {
+            self.idle_from = now;
+        } else if now >= self.idle_from + self.latency as Micros
+            && self.latency > self.usual
+            && self.usual > 0.0
+        {
+            self.latency += LATENCY_FADE * (self.usual - self.latency);
+            self.idle_from = now;
+        }
         let floor = GAP_FLOOR * self.latency;
         self.gap = (self.gap * phi).clamp(floor, GAP_CEILING * self.latency);
     }
@@ -902,6 +929,17 @@
         let end = if outcome == Outcome::TimedOut { now + linger } else { now };
         self.past.push((now.saturating_sub(elapsed), end));
         let answered = matches!(outcome, Outcome::Success | Outcome::Failure);
+        let made = now.saturating_sub(elapsed);
+        if answered {
+            self.heard = self.heard.max(made);
+        }
+        // Guards against taking a connection that broke or fell silent for trouble below: there, the next call
+        // has no answer either, and nor have those made after it.
+        let silent = matches!(outcome, Outcome::TimedOut | Outcome::Broken);
+        self.unheard = if silent { self.unheard + 1 } else { 0 };
+        if silent && (self.unheard == 1 || self.heard > made) {
+            return;
+        }
         if answered || outcome == Outcome::TimedOut {
             self.latency = smooth(self.latency, elapsed as f64).max(1.0);
         }
@@ -912,7 +950,7 @@
         if !answered && outcome != Outcome::TimedOut {
             self.paused_until = now + (CALL_PAUSE * self.latency) as Micros;
         }
-        self.falters = !answered || self.latency > FALTER * self.usual;
+        self.falters = !answered || self.latency > FALTER * self.usual.max(self.period as f64);
         if !self.falters {
             self.bound = (self.bound + 1.0 / self.bound).min(self.share.max(1.0));
         } else if now >= self.halved_at + self.latency as Micros {
