--- a/src/balance.rs
+++ b/src/balance.rs
@@ -28,11 +28,11 @@
 const CALL_PAUSE: f64 = 2.0;
 /// Call latencies, and two periods at the least, for which the reply to a call is waited for.
 const CALL_PATIENCE: f64 = 8.0;
-/// Share of the told calls below which their bound is not halved: what lies below was measured to survive them,
-/// and fewer leave answers poorer for nothing.
+/// Share of the told calls below which their bound is not halved: what lies below was measured to survive
+/// them, and fewer leave answers poorer for nothing.
 const LEAST_SHARE: f64 = 0.5;
-/// Weight by which the latency nears the usual in a call latency without any call: a belief that keeps calls from
-/// being made would otherwise never be put right.
+/// Weight by which the latency nears the usual in a call latency without any call: a belief that keeps calls
+/// from being made would otherwise never be put right.
 const LATENCY_FADE: f64 = 0.25;
 /// Share of its span for which the calls' mean may run ahead: little beside what the mean forgives.
 const BURST_SHARE: f64 = 0.1;
@@ -136,8 +136,8 @@
     usual: f64,
     falters: bool,
     halved_at: Micros,
-    /// Calls that ended without any word from below since the last that had one, and when the latest of those that
-    /// had one was made.
+    /// Calls that ended without any word from below since the last that had one, and when the latest of those
+    /// that had one was made.
     unheard: u32,
     heard: Micros,
     /// When a call was last in hand, or its trace faded.
@@ -634,8 +634,8 @@
             Advert::Unused => return,
             Advert::Weight => welcome,
             Advert::Floor => (1.0 - welcome) * (1.0 - 1.0 / bands),
-            // For each caller all that fits: few callers send most, and a fixed share would shut them out of cores
-            // that the others leave idle. What they send too much together lowers the welcome.
+            // For each caller all that fits: few callers send most, and a fixed share would shut them out of
+            // cores that the others leave idle. What they send too much together lowers the welcome.
             Advert::Allowance => welcome * ROUNDS * self.lanes(),
         };
         actions.push(Action::Advertise(value));
@@ -692,8 +692,8 @@
         let Some(record) = self.requests.get_mut(&id) else { return };
         record.stage = Stage::Calling;
         record.called = self.now;
-        // A reply so late is lost, not late. What must not be made again is given up for good, and so not before
-        // its answer would be worth nothing.
+        // A reply so late is lost, not late. What must not be made again is given up for good, and so not
+        // before its answer would be worth nothing.
         let safe = self.settings.classes[record.class].effect == Effect::Safe;
         let patience = (CALL_PATIENCE * self.gate.latency).max(2.0 * self.period as f64) as Micros;
         let patience = patience.max(if safe { 0 } else { record.aim.saturating_sub(self.now) });
@@ -940,8 +940,8 @@
         if answered {
             self.heard = self.heard.max(made);
         }
-        // Guards against taking a connection that broke or fell silent for trouble below: there, the next call
-        // has no answer either, and nor have those made after it.
+        // Guards against taking a connection that broke or fell silent for trouble below: there, the next
+        // call has no answer either, and nor have those made after it.
         let silent = matches!(outcome, Outcome::TimedOut | Outcome::Broken);
         self.unheard = if silent { self.unheard + 1 } else { 0 };
         if silent && (self.unheard == 1 || self.heard > made) {
