--- a/src/net/runtime.rs
+++ b/src/net/runtime.rs
@@ -164,7 +164,9 @@
         self.read_lines(facts);
         let sent = self.send();
         if self.leaving.is_some_and(|(mark, until)| mark <= self.confirmed || now >= until) {
-            self.lose(now, "the runtime has moved");
+            log::info!("runtime: moves to {}", self.address);
+            self.well = false;
+            self.lose(now, "it has moved");
             self.retry_at = now;
             return true;
         }
