Give back the capacity that a burst left in a connection's buffers

Seen in review: a connection's input grows to 64 KiB and its output to more, and kept that for as long as it stood (Conn::flush in src/net/conn.rs, take_frames in src/net/front.rs): 328 places of 384 descriptors could hold 20 MB of a limit of 32. Now an empty buffer keeps 4 KiB at the most.

--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -9,6 +9,8 @@
 use std::rc::Rc;
 
 const CHUNK: usize = 16_384;
+/// An empty buffer keeps this capacity.
+const KEPT: usize = 4_096;
 
 /// A connection. It is watched for edges, so that readiness is kept here until a read or write uses it up.
 pub struct Conn {
@@ -110,6 +112,12 @@
         Ok(false)
     }
 
+    /// Drops so many bytes from the front of `input`.
+    pub fn consume(&mut self, used: usize) {
+        self.input.drain(..used);
+        trim(&mut self.input);
+    }
+
     /// Bytes to be sent with the next [`flush`](Self::flush).
     pub fn output(&mut self) -> &mut Vec<u8> {
         &mut self.output
@@ -138,6 +146,7 @@
         let written = self.sent - before;
         if self.unsent() == 0 {
             self.output.clear();
+            trim(&mut self.output);
             self.sent = 0;
         } else if self.sent > CHUNK {
             self.output.drain(..self.sent);
@@ -152,3 +161,34 @@
         let _ = self.socket.shutdown(Shutdown::Write);
     }
 }
+
+/// Gives back what an empty buffer has grown to. Guards against connections that each hold, for as long as they
+/// stand, what their largest burst took.
+fn trim(buffer: &mut Vec<u8>) {
+    if buffer.is_empty() && buffer.capacity() > KEPT {
+        buffer.shrink_to(KEPT);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_empty_buffer_gives_back_what_a_burst_took() {
+        let (event_loop, listener) =
+            (calloop::EventLoop::try_new(), std::net::TcpListener::bind("127.0.0.1:0"));
+        let (event_loop, listener) = (event_loop.expect("an event loop"), listener.expect("a port"));
+        let address = listener.local_addr().expect("an address");
+        let mut conn = Conn::connect(&event_loop.handle(), address, Party::Runtime).expect("it listens");
+        conn.input = vec![0; 65_536];
+        conn.consume(65_535);
+        assert_eq!(conn.input.len(), 1);
+        conn.consume(1);
+        assert!(conn.input.capacity() <= KEPT);
+        conn.output().extend_from_slice(&[0; 65_536]);
+        conn.sent = 65_536;
+        conn.flush().expect("nothing to send");
+        assert!(conn.output.capacity() <= KEPT);
+    }
+}
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -511,7 +511,7 @@
             self.waits = self.waits.or(Some(context.now));
         }
         self.conn.input = input;
-        self.conn.input.drain(..used);
+        self.conn.consume(used);
     }
 
     /// Takes one frame; one too large comes without its payload.
