--- a/Makefile
+++ b/Makefile
@@ -6,12 +6,12 @@
 	cargo build --locked --release
 
 test:
-	cargo test --locked
+	cargo test --workspace --locked
 
 lint:
-	cargo fmt --check
-	cargo clippy --locked --all-targets -- -D warnings
-	RUSTDOCFLAGS="-D warnings" cargo doc --locked --no-deps
+	cargo fmt --all --check
+	cargo clippy --workspace --locked --all-targets -- -D warnings
+	RUSTDOCFLAGS="-D warnings" cargo doc --workspace --locked --no-deps
 
 # make run CONFIG=config.json
 run: build
--- a/src/exchange.rs
+++ b/crates/exchange/src/lib.rs
@@ -5,8 +5,13 @@
 //! answer, whatever the other parties do. It knows nothing of frames, lines or HTTP, so that another protocol
 //! can stand before it.
 
-use crate::balance::Controller;
-use crate::interface::{Action, Effect, Event, Gauges, Micros, Outcome, Request, RequestId, Settings};
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+use cleatpulley_policy::interface::{
+    Action, Effect, Event, Gauges, Micros, Outcome, Request, RequestId, Settings,
+};
+use cleatpulley_policy::Controller;
 use std::collections::{BTreeSet, HashMap};
 
 /// Gauges are asked for so long before a timer, that they are there and fresh when it fires.
@@ -44,6 +49,8 @@
     pub rank: f64,
     /// It names a subject.
     pub has_subject: bool,
+    /// What all tries of one request share, where its caller told it. Kept, and used by nothing yet.
+    pub key: Option<Box<[u8]>>,
     /// Its body, as it came.
     pub body: Vec<u8>,
 }
@@ -137,6 +144,8 @@
     },
     /// An error, with no promise.
     Failed,
+    /// The due time has passed; with no promise either.
+    Expired,
 }
 
 /// A call to what lies below.
@@ -219,6 +228,8 @@
     /// Its start may never have reached the runtime, and then no end will be told.
     doubtful: bool,
     stage: Stage,
+    /// What all tries of the request share.
+    key: Option<Box<[u8]>>,
     /// The request's body; kept beyond the start only where a start may be sent again.
     body: Vec<u8>,
     /// The last call that the run wanted.
@@ -272,6 +283,12 @@
         self.dues.len()
     }
 
+    /// The key that a request's caller told, while the request is known here.
+    #[must_use]
+    pub fn key(&self, id: RequestId) -> Option<&[u8]> {
+        self.entries.get(&id)?.key.as_deref()
+    }
+
     /// Hears a fact. What the controller has to decide waits for the next [`advance`](Self::advance).
     pub fn hear(&mut self, now: Micros, fact: Fact, commands: &mut Vec<Command>) {
         match fact {
@@ -409,7 +426,8 @@
     }
 
     fn arrive(&mut self, now: Micros, arrival: Arrival, commands: &mut Vec<Command>) {
-        let Arrival { origin, id, class, caller, door, work, memory_kb, rank, has_subject, body } = arrival;
+        let Arrival { origin, id, class, caller, door, work, memory_kb, rank, has_subject, key, body } =
+            arrival;
         let Some(settings) = self.settings.classes.get(class) else {
             commands.push(Command::Answer { to: origin, answer: Answer::Failed });
             return;
@@ -430,6 +448,7 @@
             answered: false,
             doubtful: false,
             stage: Stage::Held,
+            key,
             body,
             notice: 0,
             call: Vec::new(),
@@ -531,7 +550,10 @@
                 self.answer(id, if held { refused } else { Answer::Failed }, commands);
             }
             Action::Fail(id) | Action::Share(id) => {
-                self.answer(id, Answer::Failed, commands);
+                // The controller gives up a little before the due time, so that the answer comes by then.
+                let late = self.stepped + self.settings.answer_slack;
+                let past = self.entries.get(&id).is_some_and(|entry| late >= entry.due);
+                self.answer(id, if past { Answer::Expired } else { Answer::Failed }, commands);
             }
             Action::Call { id, timeout } => {
                 let Some(entry) = self.entries.get_mut(&id) else { return };
@@ -594,7 +616,7 @@
             if due + self.grace() > now {
                 return;
             }
-            self.answer(id, Answer::Failed, commands);
+            self.answer(id, Answer::Expired, commands);
             self.events.push(Event::Gone(id));
         }
     }
--- a/src/net/directory.rs
+++ b/crates/matcher/src/directory.rs
@@ -1,9 +1,10 @@
 //! Reports to the directory, so that front ends find this matcher.
 
 use super::conn::Conn;
-use super::{http, Handle, Party};
-use crate::interface::Micros;
+use super::{Handle, Party};
 use calloop::Readiness;
+use cleatpulley_policy::interface::Micros;
+use cleatpulley_protocol::http;
 use std::io;
 use std::net::SocketAddr;
 
@@ -103,7 +104,7 @@
                     return Err(io::Error::other(format!("status {}", reply.status)));
                 }
                 if !self.well {
-                    log::info!("directory: reports count again");
+                    tracing::info!("directory: reports count again");
                 }
                 self.well = true;
                 if reply.closes {
@@ -126,7 +127,7 @@
         self.conn = None;
         self.asked = None;
         if self.well {
-            log::warn!("directory: report failed: {why}");
+            tracing::warn!("directory: report failed: {why}");
         }
         self.well = false;
     }
--- /dev/null
+++ b/crates/matcher/src/front.rs
@@ -0,0 +1,587 @@
+//! The connections of the client side: accepting, places, silent and idle connections, crowding, drain and the end
+//! are the same for every protocol and live here; what the bytes mean is a [`Machine`]'s.
+
+use super::conn::Conn;
+use super::{Handle, Party};
+use calloop::generic::Generic;
+use calloop::{Interest, Mode, PostAction, Readiness, RegistrationToken};
+use cleatpulley_exchange::{Answer, Arrival, Fact, Origin};
+use cleatpulley_policy::interface::Micros;
+use cleatpulley_protocol::frame::connection::PARTING;
+use cleatpulley_protocol::machine::{Context, Machine, Standing};
+use cleatpulley_protocol::{ajp, frame};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::collections::HashMap;
+use std::io::{self, ErrorKind};
+use std::net::{IpAddr, SocketAddr, TcpListener};
+use std::rc::Rc;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 1_024;
+/// Connections accepted in one turn on each listener.
+const ACCEPTS: usize = 128;
+/// Wait after the system had no descriptor for a new connection.
+const ACCEPT_PAUSE: Micros = 50_000;
+/// Bytes read from a connection in one turn, so that a loud peer blocks nobody.
+const READ_AT_ONCE: usize = 65_536;
+/// A peer that leaves so much unread is not read from: its answers would pile up here. What its open requests
+/// still get comes on top.
+const UNREAD: usize = 32_768;
+/// After our end is closed, what the peer sent before is read away for so long: closing over unread bytes
+/// would take back answers on their way.
+const LINGER: Micros = 2_000_000;
+/// How often idle and parting connections are looked for.
+const SWEEP: Micros = 100_000;
+/// A sweep that comes so late tells of a pause of the machine, which is no silence of the peers.
+const PAUSE: Micros = 1_000_000;
+/// Beyond this share of the places, idle connections are told to close, the longest idle first.
+const CROWDED: f64 = 0.75;
+/// An idle connection that carried something so lately is not told so: its front end may be about to use it.
+const WARM: Micros = 300_000;
+/// Where no place is left, a connection that was accepted or told to close so lately keeps its place: what it
+/// sent may be on its way.
+const FAIR: Micros = 50_000;
+
+/// What is spoken on a listening address.
+#[derive(Debug, Clone)]
+pub enum Speaks {
+    /// The frames of front ends.
+    Frames,
+    /// AJP/1.3, and the addresses of the proxies whose word on when a request came is believed.
+    Ajp(Rc<ajp::server::Settings>, Rc<Vec<IpAddr>>),
+}
+
+impl Speaks {
+    fn machine(&self, now: Micros, peer: IpAddr) -> Spoken {
+        match self {
+            Self::Frames => Spoken::Frames(frame::connection::Connection::new(now)),
+            Self::Ajp(settings, trusted) => {
+                Spoken::Ajp(ajp::server::Connection::new(Rc::clone(settings), now, trusted.contains(&peer)))
+            }
+        }
+    }
+}
+
+/// A connection's state machine, by what it speaks.
+enum Spoken {
+    Frames(frame::connection::Connection),
+    Ajp(ajp::server::Connection),
+}
+
+impl std::ops::Deref for Spoken {
+    type Target = dyn Machine;
+
+    fn deref(&self) -> &Self::Target {
+        match self {
+            Self::Frames(machine) => machine,
+            Self::Ajp(machine) => machine,
+        }
+    }
+}
+
+impl std::ops::DerefMut for Spoken {
+    fn deref_mut(&mut self) -> &mut Self::Target {
+        match self {
+            Self::Frames(machine) => machine,
+            Self::Ajp(machine) => machine,
+        }
+    }
+}
+
+struct Peer {
+    conn: Conn,
+    machine: Spoken,
+    /// Since when our end is closed; what still comes is thrown away.
+    lingers: Option<Micros>,
+}
+
+/// A listening socket.
+struct Door {
+    socket: Rc<TcpListener>,
+    token: RegistrationToken,
+    speaks: Speaks,
+    acceptable: bool,
+}
+
+/// The listeners and their connections.
+pub struct Front {
+    handle: Handle,
+    doors: Vec<Door>,
+    classes: Vec<String>,
+    most: usize,
+    peers: HashMap<u64, Peer>,
+    noted: Vec<u64>,
+    /// Connections with more to read than one turn takes: no edge will tell of it again.
+    again: Vec<u64>,
+    arrivals: Vec<Arrival>,
+    numbers: u64,
+    accept_at: Micros,
+    sweep_at: Micros,
+    feedback: Option<f64>,
+    good: bool,
+    idle: Option<Micros>,
+    leaving: bool,
+    parting: bool,
+}
+
+impl Front {
+    /// A front without listeners, for at most so many connections.
+    #[must_use]
+    pub fn new(handle: Handle, classes: Vec<String>, most: usize) -> Self {
+        Self {
+            handle,
+            doors: Vec::new(),
+            classes,
+            most,
+            peers: HashMap::new(),
+            noted: Vec::new(),
+            again: Vec::new(),
+            arrivals: Vec::new(),
+            numbers: 0,
+            accept_at: 0,
+            sweep_at: 0,
+            feedback: None,
+            good: true,
+            idle: None,
+            leaving: false,
+            parting: false,
+        }
+    }
+
+    /// Listens on one more address; returns where that is.
+    ///
+    /// # Errors
+    /// When the address can't be listened on.
+    pub fn listen(&mut self, address: SocketAddr, speaks: Speaks) -> io::Result<SocketAddr> {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_reuse_address(true)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&address.into())?;
+        socket.listen(BACKLOG)?;
+        let socket = Rc::new(TcpListener::from(socket));
+        let address = socket.local_addr()?;
+        let source = Generic::new(Rc::clone(&socket), Interest::READ, Mode::Edge);
+        let place = self.doors.len();
+        let token = self
+            .handle
+            .insert_source(source, move |_, _, node| {
+                node.acceptable(place);
+                Ok(PostAction::Continue)
+            })
+            .map_err(|e| io::Error::other(e.to_string()))?;
+        self.doors.push(Door { socket, token, speaks, acceptable: true });
+        Ok(address)
+    }
+
+    /// Connections that stand.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Connections may wait to be accepted on this listener.
+    pub fn note_listener(&mut self, place: usize) {
+        if let Some(door) = self.doors.get_mut(place) {
+            door.acceptable = true;
+        }
+    }
+
+    /// A connection may be read from or written to.
+    pub fn note(&mut self, number: u64, readiness: Readiness) {
+        if let Some(peer) = self.peers.get_mut(&number) {
+            peer.conn.note(readiness);
+            self.noted.push(number);
+        }
+    }
+
+    /// All answers carry this value from now on.
+    pub fn set_feedback(&mut self, value: f64) {
+        self.feedback = Some(value);
+    }
+
+    /// Health checks are answered so from now on.
+    pub fn set_health(&mut self, good: bool) {
+        self.good = good;
+    }
+
+    /// Connections idle for so long are closed from now on.
+    pub fn set_idle(&mut self, after: Micros) {
+        self.idle = Some(after);
+    }
+
+    /// Answers a request. A connection that is gone needs no answer.
+    pub fn answer(&mut self, now: Micros, to: Origin, answer: &Answer) {
+        let Some(peer) = self.peers.get_mut(&to.connection) else { return };
+        let (good, feedback) = (self.good, self.feedback);
+        let context = Context { now, number: to.connection, classes: &self.classes, good, feedback };
+        if peer.machine.answer(&context, to.stream, answer, peer.conn.output()) {
+            self.noted.push(to.connection);
+        }
+    }
+
+    /// The notice to leave has come.
+    pub fn leave(&mut self, now: Micros) {
+        if !std::mem::replace(&mut self.leaving, true) {
+            self.tell_all(now, |machine, context, out| machine.leave(context, out));
+        }
+    }
+
+    /// The stop is near: no new request is taken, and no new connection once those waiting are accepted.
+    pub fn part(&mut self, now: Micros) {
+        if !std::mem::replace(&mut self.parting, true) {
+            self.tell_all(now, |machine, context, out| machine.part(context, out));
+            self.doors.iter_mut().for_each(|door| door.acceptable = true);
+        }
+    }
+
+    fn tell_all(&mut self, now: Micros, tell: impl Fn(&mut dyn Machine, &Context, &mut Vec<u8>)) {
+        let (good, feedback) = (self.good, self.feedback);
+        for (&number, peer) in &mut self.peers {
+            let context = Context { now, number, classes: &self.classes, good, feedback };
+            tell(&mut *peer.machine, &context, peer.conn.output());
+            self.noted.push(number);
+        }
+    }
+
+    /// Accepts, reads, sends and closes. True when more can be read at once.
+    pub fn turn(&mut self, now: Micros, facts: &mut Vec<Fact>) -> bool {
+        self.accept(now, facts);
+        let mut noted = std::mem::take(&mut self.noted);
+        noted.append(&mut self.again);
+        noted.sort_unstable();
+        noted.dedup();
+        for number in noted {
+            let Some(peer) = self.peers.get_mut(&number) else { continue };
+            let (good, feedback) = (self.good, self.feedback);
+            let context = Context { now, number, classes: &self.classes, good, feedback };
+            let next = peer.serve(&context, &mut self.arrivals);
+            facts.extend(self.arrivals.drain(..).map(Fact::Arrived));
+            match next {
+                Ok(Next::Wait) => {}
+                Ok(Next::Again) => self.again.push(number),
+                Ok(Next::Close) => self.close(number, facts),
+                Err(e) => {
+                    tracing::debug!("front end connection {number}: {e}");
+                    self.close(number, facts);
+                }
+            }
+        }
+        // After what has come was read: a pause of the machine is no silence.
+        if now >= self.sweep_at {
+            self.sweep(now);
+        }
+        !self.again.is_empty() || (self.acceptable() && now >= self.accept_at)
+    }
+
+    /// Sends what this turn has answered.
+    pub fn flush(&mut self, now: Micros, facts: &mut Vec<Fact>) {
+        let mut noted = std::mem::take(&mut self.noted);
+        noted.sort_unstable();
+        noted.dedup();
+        for number in noted {
+            let Some(peer) = self.peers.get_mut(&number) else { continue };
+            if peer.conn.flush().is_err() {
+                self.close(number, facts);
+            } else if peer.rests(now) {
+                self.noted.push(number);
+            }
+        }
+    }
+
+    /// When connections have to be looked at, though nothing happened.
+    #[must_use]
+    pub fn next(&self) -> Micros {
+        if self.acceptable() && self.accept_at > 0 {
+            self.sweep_at.min(self.accept_at)
+        } else {
+            self.sweep_at
+        }
+    }
+
+    fn acceptable(&self) -> bool {
+        self.doors.iter().any(|door| door.acceptable)
+    }
+
+    fn close(&mut self, number: u64, facts: &mut Vec<Fact>) {
+        if let Some(peer) = self.peers.remove(&number) {
+            if peer.machine.status().open > 0 {
+                facts.push(Fact::OriginLost(number));
+            }
+            self.doors.iter_mut().for_each(|door| door.acceptable = true);
+        }
+    }
+
+    /// Gives up the place of a connection that owes nothing, if there is one: first those that only wait for
+    /// their end, then those that never sent a whole message, the oldest first. Guards against clients that take
+    /// all places and say nothing, while front ends wait to be accepted.
+    fn make_room(&mut self, now: Micros, facts: &mut Vec<Fact>) -> bool {
+        let spare = |(number, peer): (&u64, &Peer)| {
+            let status = peer.machine.status();
+            let (rank, since) = match (peer.lingers, status.standing) {
+                _ if status.open > 0 => return None,
+                (Some(since), _) => (0, since),
+                (None, Standing::Parting(since)) => (1, since),
+                (None, Standing::Lost) => (1, status.used),
+                (None, Standing::Open) if !status.spoken => (2, status.waits.unwrap_or(now)),
+                (None, Standing::Open) => return None,
+            };
+            (now >= since + FAIR).then_some((rank, since, *number))
+        };
+        let Some((_, _, number)) = self.peers.iter().filter_map(spare).min() else { return false };
+        self.close(number, facts);
+        true
+    }
+
+    fn accept(&mut self, now: Micros, facts: &mut Vec<Fact>) {
+        for place in 0..self.doors.len() {
+            if now < self.accept_at {
+                return;
+            }
+            self.accept_at_door(place, now, facts);
+        }
+        if self.parting && !self.doors.is_empty() && !self.acceptable() {
+            for door in self.doors.drain(..) {
+                self.handle.remove(door.token);
+            }
+        }
+    }
+
+    fn accept_at_door(&mut self, place: usize, now: Micros, facts: &mut Vec<Fact>) {
+        for _ in 0..ACCEPTS {
+            if !self.doors[place].acceptable {
+                return;
+            }
+            // Those beyond the bound wait with the system, where they cost us nothing.
+            if self.peers.len() >= self.most && !self.make_room(now, facts) {
+                self.accept_at = now + ACCEPT_PAUSE;
+                return;
+            }
+            let door = &mut self.doors[place];
+            let (socket, address) = match door.socket.accept() {
+                Ok(accepted) => accepted,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    door.acceptable = false;
+                    return;
+                }
+                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {
+                    continue
+                }
+                Err(e) => {
+                    // Guards against a loop at full speed while descriptors are short.
+                    tracing::warn!("no connection accepted for a while: {e}");
+                    self.make_room(now, facts);
+                    self.accept_at = now + ACCEPT_PAUSE;
+                    return;
+                }
+            };
+            self.numbers += 1;
+            let number = self.numbers;
+            match Conn::new(&self.handle, socket, Party::Front(number)) {
+                Ok(mut conn) => {
+                    let mut machine = door.speaks.machine(now, address.ip());
+                    let (good, feedback) = (self.good, self.feedback);
+                    let context = Context { now, number, classes: &self.classes, good, feedback };
+                    if self.leaving {
+                        machine.leave(&context, conn.output());
+                    }
+                    if self.parting {
+                        machine.part(&context, conn.output());
+                    }
+                    self.peers.insert(number, Peer { conn, machine, lingers: None });
+                }
+                Err(e) => tracing::warn!("a connection can't be watched: {e}"),
+            }
+        }
+    }
+
+    fn sweep(&mut self, now: Micros) {
+        let paused = now >= self.sweep_at + PAUSE;
+        self.sweep_at = now + SWEEP;
+        let (good, feedback) = (self.good, self.feedback);
+        for (&number, peer) in &mut self.peers {
+            let context = Context { now, number, classes: &self.classes, good, feedback };
+            if paused && peer.machine.status().waits.is_some() {
+                peer.machine.status_mut().waits = Some(now);
+            }
+            if peer.machine.deadline().is_some_and(|at| now >= at) {
+                peer.machine.expire(&context, peer.conn.output());
+            }
+            let status = peer.machine.status();
+            if status.is_idle() && self.idle.is_some_and(|after| now >= status.used + after) {
+                peer.machine.part(&context, peer.conn.output());
+            }
+            if peer.lingers.is_some() || peer.machine.status().standing != Standing::Open {
+                self.noted.push(number);
+            }
+        }
+        let crowd = (CROWDED * self.most as f64) as usize;
+        let ends = |peer: &&Peer| peer.lingers.is_some() || peer.machine.status().standing != Standing::Open;
+        let going = self.peers.values().filter(ends).count();
+        let excess = (self.peers.len() - going).saturating_sub(crowd);
+        if excess > 0 {
+            let idle = |(number, peer): (&u64, &Peer)| {
+                let status = peer.machine.status();
+                let idle = peer.lingers.is_none() && status.is_idle();
+                (idle && now >= status.used + WARM).then_some((status.used, *number))
+            };
+            let mut idle: Vec<_> = self.peers.iter().filter_map(idle).collect();
+            idle.sort_unstable();
+            for (_, number) in idle.into_iter().take(excess) {
+                let context = Context { now, number, classes: &self.classes, good, feedback };
+                if let Some(peer) = self.peers.get_mut(&number) {
+                    peer.machine.part(&context, peer.conn.output());
+                }
+                self.noted.push(number);
+            }
+        }
+    }
+}
+
+#[derive(PartialEq)]
+enum Next {
+    Wait,
+    Again,
+    Close,
+}
+
+impl Peer {
+    fn serve(&mut self, context: &Context, arrivals: &mut Vec<Arrival>) -> io::Result<Next> {
+        let mut more = false;
+        self.conn.flush()?;
+        if self.conn.unsent() < UNREAD {
+            more = self.conn.read(READ_AT_ONCE)?;
+            let input = std::mem::take(&mut self.conn.input);
+            let used = match self.lingers {
+                Some(_) => input.len(),
+                None => self.machine.receive(context, &input, self.conn.output(), arrivals),
+            };
+            self.conn.input = input;
+            self.conn.consume(used);
+        }
+        self.conn.flush()?;
+        let now = context.now;
+        if self.rests(now) {
+            self.conn.finish();
+            self.lingers = Some(now);
+        }
+        if let Some(since) = self.lingers {
+            if self.conn.ended || now >= since + LINGER {
+                return Ok(Next::Close);
+            }
+        }
+        Ok(if more { Next::Again } else { Next::Wait })
+    }
+
+    /// Nothing is owed, and no more may come.
+    fn rests(&self, now: Micros) -> bool {
+        let status = self.machine.status();
+        let over = match status.standing {
+            Standing::Open => self.conn.ended,
+            Standing::Parting(since) => self.conn.ended || now >= since + PARTING,
+            Standing::Lost => true,
+        };
+        self.lingers.is_none() && over && status.open == 0 && self.conn.unsent() == 0
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::net::TcpStream;
+
+    const SECOND: Micros = 1_000_000;
+
+    /// Guards against a loop at full speed between the last goodbye and the stop.
+    #[test]
+    fn once_it_no_longer_listens_there_is_nothing_to_accept() {
+        let event_loop = calloop::EventLoop::try_new().expect("an event loop");
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut front = Front::new(event_loop.handle(), Vec::new(), 8);
+        front.listen(address, Speaks::Frames).expect("a port");
+        let mut facts = Vec::new();
+        front.part(1);
+        front.turn(1, &mut facts);
+        assert!(front.doors.is_empty());
+        // A connection that closes leaves room for another.
+        front.note_listener(0);
+        assert!(!front.turn(2, &mut facts));
+    }
+
+    /// Connections of a front that holds at most so many, and their other ends.
+    fn crowd(
+        most: usize,
+        number: usize,
+    ) -> (calloop::EventLoop<'static, crate::Node>, Front, Vec<TcpStream>) {
+        let event_loop = calloop::EventLoop::try_new().expect("an event loop");
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut front = Front::new(event_loop.handle(), Vec::new(), most);
+        let address = front.listen(address, Speaks::Frames).expect("a port");
+        let ends = (0..number).map(|_| TcpStream::connect(address).expect("it listens")).collect();
+        front.turn(1, &mut Vec::new());
+        (event_loop, front, ends)
+    }
+
+    fn numbers(front: &Front) -> Vec<u64> {
+        let mut numbers: Vec<_> = front.peers.keys().copied().collect();
+        numbers.sort_unstable();
+        numbers
+    }
+
+    fn status(front: &mut Front, number: u64) -> &mut cleatpulley_protocol::machine::Status {
+        front.peers.get_mut(&number).expect("it stands").machine.status_mut()
+    }
+
+    fn open(peer: &Peer) -> bool {
+        peer.lingers.is_none() && peer.machine.status().standing == Standing::Open
+    }
+
+    /// Guards against clients that take all places and say nothing.
+    #[test]
+    fn the_silent_longest_makes_room_where_no_place_is_left() {
+        let (_event_loop, mut front, _ends) = crowd(2, 3);
+        assert_eq!(numbers(&front), [1, 2], "what was accepted just now keeps its place");
+        status(&mut front, 1).spoken = true;
+        front.turn(1 + ACCEPT_PAUSE, &mut Vec::new());
+        assert_eq!(numbers(&front), [1, 3]);
+        // A request that is open is never given up for a place.
+        status(&mut front, 3).open = 1;
+        let _end =
+            TcpStream::connect(front.doors[0].socket.local_addr().expect("an address")).expect("it listens");
+        front.note_listener(0);
+        front.turn(SECOND, &mut Vec::new());
+        assert_eq!(numbers(&front), [1, 3]);
+    }
+
+    /// Guards against clients that ask once and hold their connection for good; those in use pay nothing.
+    #[test]
+    fn the_idle_longest_are_told_to_close_while_places_run_short() {
+        let (_event_loop, mut front, _ends) = crowd(9, 8);
+        for (number, peer) in &mut front.peers {
+            let status = peer.machine.status_mut();
+            (status.spoken, status.waits, status.used) = (true, None, *number);
+        }
+        status(&mut front, 1).open = 1;
+        front.turn(SECOND, &mut Vec::new());
+        let parting = |front: &Front| {
+            let mut parting: Vec<_> =
+                front.peers.iter().filter(|(_, peer)| !open(peer)).map(|(n, _)| *n).collect();
+            parting.sort_unstable();
+            parting
+        };
+        assert_eq!(parting(&front), [2, 3]);
+        front.turn(SECOND + SWEEP, &mut Vec::new());
+        assert_eq!(parting(&front), [2, 3], "six of nine places are no crowd");
+    }
+
+    /// Guards against taking a pause of the machine for silence.
+    #[test]
+    fn a_pause_is_no_silence() {
+        let (_event_loop, mut front, _ends) = crowd(8, 2);
+        front.turn(9 * SECOND, &mut Vec::new());
+        assert!(front.peers.values().all(open));
+        for turn in 1..=20 {
+            front.turn(9 * SECOND + turn * SWEEP, &mut Vec::new());
+        }
+        assert!(!front.peers.values().any(open));
+    }
+}
--- a/src/net/mod.rs
+++ b/crates/matcher/src/lib.rs
@@ -1,20 +1,23 @@
 //! The real matcher: one event loop, and the adapters round the [`Exchange`].
 
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
 pub mod conn;
 pub mod directory;
-pub mod frame;
 pub mod front;
-pub mod http;
-pub mod line;
 pub mod runtime;
 pub mod store;
 
-use crate::config::{Config, Sources};
-use crate::exchange::{Command, Exchange, Fact};
-use crate::interface::Micros;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, LoopHandle, Readiness};
+use cleatpulley_exchange::{Command, Exchange, Fact};
+use cleatpulley_policy::interface::Micros;
+use cleatpulley_policy::interface::Settings;
+use cleatpulley_protocol::ajp;
 use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Access to the event loop.
@@ -60,9 +63,61 @@
     }
 }
 
+/// Addresses of the other parties, which may change while the matcher serves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Parties {
+    /// The runtime.
+    pub runtime: SocketAddr,
+    /// The store.
+    pub store: SocketAddr,
+    /// The directory.
+    pub lookup: SocketAddr,
+}
+
+/// The AJP front.
+#[derive(Debug, Clone)]
+pub struct AjpFront {
+    /// Where proxies connect.
+    pub listen: Vec<SocketAddr>,
+    /// Proxies whose word on when a request came is believed.
+    pub trusted: Vec<IpAddr>,
+    /// What its connections share.
+    pub settings: ajp::server::Settings,
+}
+
+/// All that a matcher is told at its start; where it comes from is the program's affair.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// The matcher's name.
+    pub name: String,
+    /// Where front ends connect.
+    pub listen: SocketAddr,
+    /// Where the other parties are.
+    pub parties: Parties,
+    /// For random numbers.
+    pub seed: u64,
+    /// Time between the notice to leave and the stop.
+    pub stop: Micros,
+    /// Descriptors that the process may hold.
+    pub sockets: usize,
+    /// Names of the classes, by index.
+    pub class_names: Vec<String>,
+    /// Names of the gauges, in the order that the runtime tells them in.
+    pub gauge_names: Vec<String>,
+    /// What the controller is told.
+    pub settings: Settings,
+    /// The AJP front, where there is one.
+    pub ajp: Option<AjpFront>,
+    /// How the store is called.
+    pub store_speaks: store::Speaks,
+}
+
+/// Reads the configuration again: the addresses that hold from now on, or what is wrong with it.
+pub type Reload = Box<dyn FnMut() -> Result<Parties, String>>;
+
 /// A matcher on its sockets.
 pub struct Node {
-    sources: Sources,
+    reload: Reload,
     clock: Clock,
     stop: Micros,
     exchange: Exchange,
@@ -76,11 +131,11 @@
     stop_at: Option<Micros>,
 }
 
-/// Serves until the notice to leave has come and its time has passed. The sources are read again on SIGHUP.
+/// Serves until the notice to leave has come and its time has passed. SIGHUP reads the configuration again.
 ///
 /// # Errors
-/// When the event loop or the listening socket can't be had.
-pub fn serve(config: Config, sources: Sources) -> io::Result<()> {
+/// When the event loop or a listening socket can't be had.
+pub fn serve(options: Options, reload: Reload) -> io::Result<()> {
     let mut event_loop: EventLoop<'static, Node> = EventLoop::try_new().map_err(io::Error::other)?;
     let handle = event_loop.handle();
     let signals =
@@ -90,22 +145,32 @@
         _ => node.leave(),
     };
     handle.insert_source(signals, heard).map_err(|e| io::Error::other(e.to_string()))?;
-    let calls = (config.sockets / STORE_SHARE).clamp(*STORE.start(), *STORE.end());
-    let most = config.sockets.saturating_sub(SPARE + calls).max(1);
-    let front = front::Front::listen(handle.clone(), config.listen, config.class_names.clone(), most)
-        .map_err(|e| io::Error::new(e.kind(), format!("listen: {}: {e}", config.listen)))?;
-    log::info!("{} listens on {}", config.name, front.address());
-    let runtime =
-        runtime::Runtime::new(handle.clone(), config.runtime, config.class_names, config.gauge_names);
+    let calls = (options.sockets / STORE_SHARE).clamp(*STORE.start(), *STORE.end());
+    let most = options.sockets.saturating_sub(SPARE + calls).max(1);
+    let mut front = front::Front::new(handle.clone(), options.class_names.clone(), most);
+    let mut listen = |address, speaks| {
+        let listened = front.listen(address, speaks);
+        listened.map_err(|e| io::Error::new(e.kind(), format!("listen: {address}: {e}")))
+    };
+    let address = listen(options.listen, front::Speaks::Frames)?;
+    tracing::info!("{} listens on {address}", options.name);
+    if let Some(ajp) = options.ajp {
+        let (settings, trusted) = (Rc::new(ajp.settings), Rc::new(ajp.trusted));
+        for address in ajp.listen {
+            let speaks = front::Speaks::Ajp(Rc::clone(&settings), Rc::clone(&trusted));
+            tracing::info!("{} speaks AJP on {}", options.name, listen(address, speaks)?);
+        }
+    }
+    let Parties { runtime, store, lookup } = options.parties;
     let mut node = Node {
-        sources,
+        reload,
         clock: Clock::new(),
-        stop: config.stop,
-        exchange: Exchange::new(config.settings, config.seed),
+        stop: options.stop,
+        exchange: Exchange::new(options.settings, options.seed),
         front,
-        runtime,
-        store: store::Store::new(handle.clone(), config.store, calls),
-        directory: directory::Directory::new(handle, config.lookup, &config.name),
+        runtime: runtime::Runtime::new(handle.clone(), runtime, options.class_names, options.gauge_names),
+        store: store::Store::new(handle.clone(), store, options.store_speaks, calls),
+        directory: directory::Directory::new(handle, lookup, &options.name),
         facts: Vec::new(),
         commands: Vec::new(),
         stop_at: None,
@@ -113,7 +178,7 @@
     loop {
         let wait = node.turn();
         if node.is_over() {
-            log::info!("left");
+            tracing::info!("left");
             return Ok(());
         }
         match event_loop.dispatch(wait, &mut node) {
@@ -136,33 +201,34 @@
     }
 
     /// The event loop saw new connections.
-    pub fn acceptable(&mut self) {
-        self.front.note_listener();
+    pub fn acceptable(&mut self, listener: usize) {
+        self.front.note_listener(listener);
     }
 
     /// The notice to leave; only the first counts.
     fn leave(&mut self) {
         if self.stop_at.is_none() {
-            let stop_at = self.clock.now() + self.stop;
-            log::info!("leaving within {} ms", self.stop / 1_000);
+            let now = self.clock.now();
+            let stop_at = now + self.stop;
+            tracing::info!("leaving within {} ms", self.stop / 1_000);
             self.stop_at = Some(stop_at);
             self.facts.push(Fact::Drain { stop_at });
+            self.front.leave(now);
         }
     }
 
     /// Reads the configuration again and goes on with the addresses of the other parties in it; the rest of it
     /// takes hold with the next start. A faulty one changes nothing.
     fn reload(&mut self) {
-        let config = match Config::load(&self.sources) {
-            Ok(config) => config,
+        let Parties { runtime, store, lookup } = match (self.reload)() {
+            Ok(parties) => parties,
             Err(fault) => {
-                log::error!("the configuration stays as it was: {fault}");
+                tracing::error!("the configuration stays as it was: {fault}");
                 return;
             }
         };
         let now = self.clock.now();
-        let Config { runtime, store, lookup, .. } = config;
-        log::info!("configuration read again: runtime {runtime}, store {store}, directory {lookup}");
+        tracing::info!("configuration read again: runtime {runtime}, store {store}, directory {lookup}");
         self.runtime.relocate(now, runtime);
         self.store.relocate(now, store, &mut self.facts);
         self.directory.relocate(now, lookup);
@@ -216,7 +282,7 @@
             Command::Abandon(id) => self.store.abandon(id),
             Command::AskGauges => self.runtime.ask_gauges(),
             Command::Health(good) => {
-                log::info!("health checks are answered {}", if good { "good" } else { "bad" });
+                tracing::info!("health checks are answered {}", if good { "good" } else { "bad" });
                 self.front.set_health(good);
             }
             Command::Feedback(value) => self.front.set_feedback(value),
--- a/src/net/runtime.rs
+++ b/crates/matcher/src/runtime.rs
@@ -1,11 +1,11 @@
 //! The link to the runtime: commands out, notices in, and the way back after a break.
 
 use super::conn::Conn;
-use super::line::{self, Notice};
 use super::{Handle, Party};
-use crate::exchange::{Fact, Order};
-use crate::interface::{Gauges, Micros, Outcome, RequestId};
 use calloop::Readiness;
+use cleatpulley_exchange::{Fact, Order};
+use cleatpulley_policy::interface::{Gauges, Micros, Outcome, RequestId};
+use cleatpulley_protocol::line::{self, Notice};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
@@ -164,7 +164,7 @@
         self.read_lines(facts);
         let sent = self.send();
         if self.leaving.is_some_and(|(mark, until)| mark <= self.confirmed || now >= until) {
-            log::info!("runtime: moves to {}", self.address);
+            tracing::info!("runtime: moves to {}", self.address);
             self.well = false;
             self.lose(now, "it has moved");
             self.retry_at = now;
@@ -209,7 +209,7 @@
     fn lose(&mut self, now: Micros, why: &str) {
         // Once: the next tries follow each other fast.
         if self.well {
-            log::warn!("runtime: no link, trying again: {why}");
+            tracing::warn!("runtime: no link, trying again: {why}");
         }
         self.well = false;
         self.conn = None;
@@ -252,12 +252,12 @@
                 continue;
             }
             if let Err(fault) = self.read_line(line, facts) {
-                log::warn!("runtime: odd line skipped: {fault}");
+                tracing::warn!("runtime: odd line skipped: {fault}");
             }
         }
         input.drain(..used);
         if input.len() > LONGEST_LINE {
-            log::warn!("runtime: a line without an end, {} bytes passed over", input.len());
+            tracing::warn!("runtime: a line without an end, {} bytes passed over", input.len());
             input.clear();
         }
         if let Some(conn) = &mut self.conn {
@@ -276,7 +276,7 @@
         }
         match &*notice.t {
             "ready" => {
-                log::info!("runtime: {}, up for {} ms", notice.status, notice.time() / 1_000);
+                tracing::info!("runtime: {}, up for {} ms", notice.status, notice.time() / 1_000);
                 self.synced = true;
                 self.well = true;
                 facts.push(Fact::Ready(notice.time()));
@@ -292,13 +292,13 @@
                     "broken_off" => Outcome::Withdrawn,
                     "late" => Outcome::Void,
                     other => {
-                        log::warn!("runtime: unknown end {other:?} taken for a fault");
+                        tracing::warn!("runtime: unknown end {other:?} taken for a fault");
                         Outcome::Failure
                     }
                 };
                 // A result that can't be read must not be told to anyone, but the run is over all the same.
                 let result = notice.body().unwrap_or_else(|fault| {
-                    log::warn!("runtime: result of {} lost: {fault}", line::rid(id));
+                    tracing::warn!("runtime: result of {} lost: {fault}", line::rid(id));
                     outcome = Outcome::Failure;
                     Vec::new()
                 });
@@ -329,7 +329,7 @@
                     "omit" => Order::Omit,
                     other => return Err(format!("nack of {other:?}")),
                 };
-                log::warn!("runtime: {} of {} not carried out", notice.status, line::rid(id));
+                tracing::warn!("runtime: {} of {} not carried out", notice.status, line::rid(id));
                 facts.push(Fact::OrderRefused { id, order });
             }
             "info" => {}
--- a/src/net/store.rs
+++ b/crates/matcher/src/store.rs
@@ -1,10 +1,12 @@
-//! The pool of connections to the store: one call at a time on each.
+//! The pool of connections to the store: one call at a time on each, over HTTP or AJP.
 
 use super::conn::Conn;
-use super::{http, line, Handle, Party};
-use crate::exchange::{Call, Fact};
-use crate::interface::{Micros, Outcome, RequestId};
+use super::{Handle, Party};
 use calloop::Readiness;
+use cleatpulley_exchange::{Call, Fact};
+use cleatpulley_policy::interface::{Micros, Outcome, RequestId};
+use cleatpulley_protocol::ajp::client::{self, Client, Fate};
+use cleatpulley_protocol::{http, line};
 use std::collections::{HashMap, VecDeque};
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
@@ -17,6 +19,16 @@
 /// Bytes of a reply read at once.
 const READ_AT_ONCE: usize = 2_097_152;
 
+/// How the store is called.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub enum Speaks {
+    /// HTTP/1.1.
+    #[default]
+    Http,
+    /// AJP/1.3.
+    Ajp(client::Options),
+}
+
 struct Job {
     id: RequestId,
     made: Micros,
@@ -28,6 +40,8 @@
 
 struct Channel {
     conn: Conn,
+    /// The state of an AJP connection; none where HTTP is spoken.
+    client: Option<Client>,
     address: SocketAddr,
     job: Option<Job>,
     /// When it became idle.
@@ -42,6 +56,7 @@
 pub struct Store {
     handle: Handle,
     address: SocketAddr,
+    speaks: Speaks,
     most: usize,
     channels: HashMap<u64, Channel>,
     /// Idle channels; the last was used last.
@@ -55,10 +70,11 @@
 impl Store {
     /// An empty pool that holds `most` connections.
     #[must_use]
-    pub fn new(handle: Handle, address: SocketAddr, most: usize) -> Self {
+    pub fn new(handle: Handle, address: SocketAddr, speaks: Speaks, most: usize) -> Self {
         Self {
             handle,
             address,
+            speaks,
             most: most.max(1),
             channels: HashMap::new(),
             idle: Vec::new(),
@@ -97,8 +113,16 @@
         let Some(channel) = self.channels.get_mut(&number) else { return };
         let wait = job.until.saturating_sub(now).div_ceil(1_000).max(1);
         let headers = [("X-For-Request", line::rid(job.id)), ("X-Wait-Ms", wait.to_string())];
-        let host = self.address.to_string();
-        http::push_request(channel.conn.output(), "POST", "/query", &host, &headers, &job.body);
+        if let Some(client) = &mut channel.client {
+            let headers = headers.each_ref().map(|(name, value)| (*name, value.as_str()));
+            let request =
+                client::Request { method: "POST", uri: "/query", headers: &headers, body: &job.body };
+            // These few headers fit into the smallest packet.
+            let _ = client.request(now, &request, channel.conn.output());
+        } else {
+            let host = self.address.to_string();
+            http::push_request(channel.conn.output(), "POST", "/query", &host, &headers, &job.body);
+        }
         self.busy.insert(job.id, number);
         channel.job = Some(job);
         self.noted.push(number);
@@ -114,8 +138,15 @@
         }
         self.numbers += 1;
         let conn = Conn::connect(&self.handle, self.address, Party::Store(self.numbers))?;
+        let client = match &self.speaks {
+            Speaks::Http => None,
+            Speaks::Ajp(options) => {
+                let server = (self.address.ip().to_string(), self.address.port());
+                Some(Client::new(client::Options { server, ..options.clone() }, now))
+            }
+        };
         let (address, job) = (self.address, None);
-        let channel = Channel { conn, address, job, idle_at: now, connected: false, reused: false };
+        let channel = Channel { conn, client, address, job, idle_at: now, connected: false, reused: false };
         self.channels.insert(self.numbers, channel);
         Ok(Some(self.numbers))
     }
@@ -202,7 +233,7 @@
 
     fn serve(&mut self, now: Micros, number: u64, facts: &mut Vec<Fact>) {
         let Some(channel) = self.channels.get_mut(&number) else { return };
-        let reply = match channel.exchange() {
+        let reply = match channel.exchange(now) {
             Ok(Some(reply)) => reply,
             Ok(None) if channel.conn.ended || (channel.job.is_none() && !channel.conn.input.is_empty()) => {
                 self.fail(now, number, Outcome::Broken, facts);
@@ -251,6 +282,12 @@
         // Guards against a connection that the store closed or forgot while it was idle: the call most likely
         // never ran, and it is no sign of a store in trouble. Once: the next connection is a fresh one.
         let stale = channel.reused && outcome == Outcome::Broken && channel.conn.input.is_empty();
+        // An AJP connection tells more: a call that can't have been read whole never ran.
+        let fate = channel.client.as_ref().map(|client| client.fate(channel.conn.unsent()));
+        let outcome = match outcome {
+            Outcome::Broken if fate == Some(Fate::NeverRan) => Outcome::Unreachable,
+            outcome => outcome,
+        };
         if stale && job.repeatable && now < job.until {
             self.place(now, Job { repeatable: false, ..job }, facts);
         } else {
@@ -261,7 +298,7 @@
 
 impl Channel {
     /// Sends what waits and reads the reply, which counts once it is whole, even if the connection broke after it.
-    fn exchange(&mut self) -> io::Result<Option<http::Reply>> {
+    fn exchange(&mut self, now: Micros) -> io::Result<Option<http::Reply>> {
         let conn = &mut self.conn;
         if !self.connected {
             conn.check()?;
@@ -270,9 +307,15 @@
         self.connected |= sent.as_ref().is_ok_and(|sent| *sent > 0);
         let read = conn.read(READ_AT_ONCE);
         if self.job.is_some() {
-            let reply = http::parse(&conn.input, conn.ended);
+            let reply = match &mut self.client {
+                None => http::parse(&conn.input, conn.ended).inspect(|reply| {
+                    if let Some(reply) = reply {
+                        conn.input.drain(..reply.size);
+                    }
+                }),
+                Some(client) => ajp_reply(client, conn, now),
+            };
             if let Some(reply) = reply.map_err(|e| io::Error::new(ErrorKind::InvalidData, e))? {
-                conn.input.drain(..reply.size);
                 // Whatever broke shows again with the next use.
                 conn.ended |= sent.is_err() || read.is_err();
                 return Ok(Some(reply));
@@ -282,6 +325,23 @@
     }
 }
 
+/// Reads on in an AJP reply, and sends what of the call the server asks for.
+fn ajp_reply(client: &mut Client, conn: &mut Conn, now: Micros) -> Result<Option<http::Reply>, String> {
+    let input = std::mem::take(&mut conn.input);
+    let taken = client.receive(now, &input, conn.output());
+    conn.input = input;
+    conn.consume(taken.map_err(|e| e.to_string())?);
+    // A connection that broke shows with the next use.
+    let _ = conn.flush();
+    Ok(client.take().map(|reply| http::Reply {
+        status: reply.status,
+        not_run: reply.not_run(),
+        closes: !reply.reuse,
+        body: reply.body,
+        size: 0,
+    }))
+}
+
 fn ended(now: Micros, job: &Job, outcome: Outcome) -> Fact {
     Fact::CallEnded { id: job.id, outcome, elapsed: now.saturating_sub(job.made), reply: Vec::new() }
 }
@@ -304,7 +364,8 @@
     fn calls_beyond_the_pool_wait_and_run_out_of_time() {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
         let event_loop = calloop::EventLoop::try_new().expect("an event loop");
-        let mut store = Store::new(event_loop.handle(), listener.local_addr().expect("an address"), 2);
+        let mut store =
+            Store::new(event_loop.handle(), listener.local_addr().expect("an address"), Speaks::Http, 2);
         let mut facts = Vec::new();
         for id in 1..=4 {
             let call = Call { id, body: Vec::new(), timeout: 1_000 * id, repeatable: true };
@@ -337,7 +398,8 @@
     fn a_call_on_a_stale_connection_is_made_again_once() {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
         let event_loop = calloop::EventLoop::try_new().expect("an event loop");
-        let mut store = Store::new(event_loop.handle(), listener.local_addr().expect("an address"), 2);
+        let mut store =
+            Store::new(event_loop.handle(), listener.local_addr().expect("an address"), Speaks::Http, 2);
         let mut facts = Vec::new();
         store.call(0, Call { id: 1, body: Vec::new(), timeout: 9_000, repeatable: true }, &mut facts);
         store.channels.values_mut().for_each(|channel| channel.reused = true);
--- a/src/net/frame.rs
+++ b/crates/protocol/src/frame/codec.rs
@@ -1,7 +1,7 @@
 //! The codec of front end frames: bytes to frames and requests, answers to bytes. No sockets here.
 
-use crate::exchange::Answer;
-use crate::interface::{Micros, RequestId};
+use cleatpulley_exchange::Answer;
+use cleatpulley_policy::interface::{Micros, RequestId};
 use std::ops::Range;
 
 /// A request, and its answer.
@@ -208,7 +208,9 @@
             }
             push(out, ANSWER, stream, Some(REFUSED), &fields, &[]);
         }
-        Answer::Served(_) | Answer::Failed => push(out, ANSWER, stream, Some(FAILED), &fields, &[]),
+        Answer::Served(_) | Answer::Failed | Answer::Expired => {
+            push(out, ANSWER, stream, Some(FAILED), &fields, &[])
+        }
     }
 }
 
--- /dev/null
+++ b/crates/protocol/src/frame/connection.rs
@@ -0,0 +1,257 @@
+//! A front end's connection that speaks frames: many requests open at once, told apart by their streams.
+
+use super::codec::{self, Parsed, Request};
+use crate::machine::{Context, Machine, Standing, Status};
+use cleatpulley_exchange::{Answer, Arrival, Origin};
+use cleatpulley_policy::interface::Micros;
+use std::collections::BTreeSet;
+
+/// Requests that may be open on a connection.
+const OPEN: usize = 32;
+/// A frame that began, or the first one of a connection, has to be whole after this time.
+const SILENCE: Micros = 2_000_000;
+/// After the word that no new request may come, the front end is left this long to close.
+pub const PARTING: Micros = 1_000_000;
+/// Runs of used streams that are remembered for each connection.
+const RUNS: usize = 64;
+
+/// The streams used on a connection, as runs of numbers: mostly one run.
+#[derive(Debug, Default)]
+struct Streams(Vec<(u32, u32)>);
+
+impl Streams {
+    /// Marks a stream as used; false when it was.
+    fn take(&mut self, stream: u32) -> bool {
+        let place = self.0.partition_point(|run| run.1 < stream);
+        if self.0.get(place).is_some_and(|run| run.0 <= stream) {
+            return false;
+        }
+        self.0.insert(place, (stream, stream));
+        if self.0.get(place + 1).is_some_and(|next| next.0 - 1 == stream) {
+            self.0[place].1 = self.0.remove(place + 1).1;
+        }
+        if place > 0 && self.0[place - 1].1 + 1 == stream {
+            self.0[place - 1].1 = self.0.remove(place).1;
+        }
+        if self.0.len() > RUNS {
+            // What lies between the two oldest runs counts as used.
+            self.0[0].1 = self.0.remove(1).1;
+        }
+        true
+    }
+}
+
+/// The connection.
+#[derive(Debug)]
+pub struct Connection {
+    status: Status,
+    streams: Streams,
+    open: BTreeSet<u32>,
+    /// Bytes of a frame that is passed over.
+    skip: usize,
+}
+
+impl Connection {
+    /// One accepted now.
+    #[must_use]
+    pub fn new(now: Micros) -> Self {
+        Self { status: Status::new(now), streams: Streams::default(), open: BTreeSet::new(), skip: 0 }
+    }
+
+    /// Takes one frame; one too large comes without its payload.
+    fn take_frame(
+        &mut self,
+        kind: u8,
+        stream: u32,
+        payload: Option<&[u8]>,
+        context: &Context,
+        out: &mut Vec<u8>,
+        arrivals: &mut Vec<Arrival>,
+    ) {
+        match kind {
+            codec::REQUEST if stream == 0 => self.fault(context, 0, "a request on stream 0", out),
+            codec::REQUEST if !self.streams.take(stream) => {
+                self.fault(context, 0, &format!("stream {stream} was used before"), out);
+            }
+            // Guards against a client that goes on as if it had not been told to stop.
+            codec::REQUEST
+                if matches!(self.status.standing,
+                    Standing::Parting(since) if context.now >= since + PARTING) =>
+            {
+                self.fault(context, 0, "a request long after the word that none may come", out);
+            }
+            codec::REQUEST if self.open.len() >= OPEN => {
+                self.fault(context, stream, "too many open requests", out);
+            }
+            codec::REQUEST => match payload.ok_or("the frame is too large".to_owned()) {
+                Ok(payload) => match arrival(payload, stream, context) {
+                    Ok(arrival) => {
+                        self.open.insert(stream);
+                        self.status.open += 1;
+                        arrivals.push(arrival);
+                    }
+                    Err(what) => self.fault(context, stream, &what, out),
+                },
+                Err(what) => self.fault(context, stream, &what, out),
+            },
+            codec::CHECK => {
+                codec::push_health(out, stream, context.good, context.feedback);
+                if !payload.is_some_and(codec::is_fields) {
+                    self.fault(context, 0, "a health check without fields", out);
+                }
+            }
+            other => self.fault(context, 0, &format!("a frame of type {other}"), out),
+        }
+    }
+
+    /// Answers what can't be served: the request where there is one, and the connection gets no new ones; else
+    /// nothing more is read from it. It is closed when its other requests are answered.
+    fn fault(&mut self, context: &Context, stream: u32, what: &str, out: &mut Vec<u8>) {
+        // Once a connection: the next faults come as fast as they can be sent.
+        if self.status.standing == Standing::Open {
+            tracing::warn!("front end connection {}: {what}", context.number);
+        }
+        if stream == 0 {
+            self.give_up(what, out);
+        } else {
+            codec::push_answer(out, stream, &Answer::Failed, None);
+            self.part(context, out);
+        }
+    }
+
+    /// Nothing more is read; what is open is still answered.
+    fn give_up(&mut self, what: &str, out: &mut Vec<u8>) {
+        codec::push_error(out, what);
+        self.status.standing = Standing::Lost;
+    }
+}
+
+impl Machine for Connection {
+    fn status(&self) -> &Status {
+        &self.status
+    }
+
+    fn status_mut(&mut self) -> &mut Status {
+        &mut self.status
+    }
+
+    fn receive(
+        &mut self,
+        context: &Context,
+        input: &[u8],
+        out: &mut Vec<u8>,
+        arrivals: &mut Vec<Arrival>,
+    ) -> usize {
+        let mut used = 0;
+        let mut whole = false;
+        while used < input.len() {
+            let rest = &input[used..];
+            if self.status.standing == Standing::Lost {
+                used = input.len();
+            } else if self.skip > 0 {
+                let passed = self.skip.min(rest.len());
+                self.skip -= passed;
+                used += passed;
+                whole |= self.skip == 0;
+            } else {
+                match codec::parse(rest) {
+                    Parsed::Short => break,
+                    Parsed::Frame { kind, stream, payload } => {
+                        used += payload.end;
+                        whole = true;
+                        self.take_frame(kind, stream, Some(&rest[payload]), context, out, arrivals);
+                    }
+                    Parsed::Large { kind, stream, whole } => {
+                        self.skip = whole;
+                        self.take_frame(kind, stream, None, context, out, arrivals);
+                    }
+                    Parsed::Lost(length) => {
+                        self.fault(context, 0, &format!("no frame has the length {length}"), out);
+                    }
+                }
+            }
+        }
+        if whole {
+            self.status.spoken = true;
+            self.status.used = context.now;
+            self.status.waits = None;
+        }
+        if used < input.len() || self.skip > 0 {
+            self.status.waits = self.status.waits.or(Some(context.now));
+        }
+        used
+    }
+
+    fn answer(&mut self, context: &Context, stream: u32, answer: &Answer, out: &mut Vec<u8>) -> bool {
+        if !self.open.remove(&stream) {
+            return false;
+        }
+        codec::push_answer(out, stream, answer, context.feedback);
+        self.status.open -= 1;
+        self.status.used = context.now;
+        true
+    }
+
+    fn deadline(&self) -> Option<Micros> {
+        let open = self.status.standing == Standing::Open;
+        self.status.waits.filter(|_| open).map(|since| since + SILENCE)
+    }
+
+    fn expire(&mut self, context: &Context, out: &mut Vec<u8>) {
+        tracing::debug!("front end connection {}: no whole frame in time", context.number);
+        self.give_up("no whole frame in time", out);
+    }
+
+    /// Front ends learn it from the directory and from health checks; their requests are answered as before.
+    fn leave(&mut self, _: &Context, _: &mut Vec<u8>) {}
+
+    fn part(&mut self, context: &Context, out: &mut Vec<u8>) {
+        if self.status.standing == Standing::Open {
+            codec::push_goodbye(out);
+            self.status.standing = Standing::Parting(context.now);
+        }
+    }
+}
+
+fn arrival(payload: &[u8], stream: u32, context: &Context) -> Result<Arrival, String> {
+    let request = Request::decode(payload)?;
+    let class = context.classes.iter().position(|name| name == request.verb);
+    Ok(Arrival {
+        origin: Origin { connection: context.number, stream },
+        id: request.txn,
+        class: class.ok_or_else(|| format!("field `verb` names no class: {:?}", request.verb))?,
+        caller: request.lb,
+        door: request.door,
+        work: request.cpu,
+        memory_kb: request.ram,
+        rank: request.standing,
+        has_subject: request.has_item,
+        key: None,
+        body: request.body.to_vec(),
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_stream_is_taken_once_in_any_order() {
+        let mut streams = Streams::default();
+        for stream in [1, 2, 3, 7, 5, 6, 4, u32::MAX, 9] {
+            assert!(streams.take(stream), "{stream}");
+            assert!(!streams.take(stream), "{stream}");
+        }
+        assert_eq!(streams.0, [(1, 7), (9, 9), (u32::MAX, u32::MAX)]);
+    }
+
+    #[test]
+    fn the_memory_of_used_streams_is_bounded() {
+        let mut streams = Streams::default();
+        for n in 1..1_000 {
+            assert!(streams.take(2 * n));
+        }
+        assert_eq!(streams.0.len(), RUNS);
+        assert!(!streams.take(2), "what was forgotten counts as used");
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,11 @@
+//! Codecs and connection state machines: frames and AJP on the client side, the runtime's lines, and the HTTP that
+//! is spoken with store and directory. Bytes and time in; requests, bytes and a deadline out; no sockets.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod ajp;
+pub mod frame;
+pub mod http;
+pub mod line;
+pub mod machine;
--- a/src/net/line.rs
+++ b/crates/protocol/src/line.rs
@@ -1,8 +1,8 @@
 //! The codec of the runtime's lines: commands to JSON, JSON to notices. No sockets here.
 
-use crate::interface::{Micros, RequestId};
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
+use cleatpulley_policy::interface::{Micros, RequestId};
 use serde::Deserialize;
 use serde_json::json;
 use std::borrow::Cow;
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,8 +1,10 @@
 //! The one place where the configuration is read, checked and given its defaults: flags come before the
 //! environment, and that before the file.
 
-use crate::interface::{Micros, Settings};
-use crate::settings::BootInfo;
+use crate::operator::Operator;
+use cleatpulley_matcher::{Options, Parties};
+use cleatpulley_policy::interface::{Micros, Settings};
+use cleatpulley_policy::settings::BootInfo;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -84,6 +86,30 @@
 }
 
 impl Config {
+    /// Where the other parties are.
+    #[must_use]
+    pub fn parties(&self) -> Parties {
+        Parties { runtime: self.runtime, store: self.store, lookup: self.lookup }
+    }
+
+    /// All that a matcher is told, with what the operator file switches on.
+    #[must_use]
+    pub fn options(self, operator: Operator) -> Options {
+        Options {
+            parties: self.parties(),
+            name: self.name,
+            listen: self.listen,
+            seed: self.seed,
+            stop: self.stop,
+            sockets: self.sockets,
+            class_names: self.class_names,
+            gauge_names: self.gauge_names,
+            settings: self.settings,
+            ajp: operator.ajp,
+            store_speaks: operator.store,
+        }
+    }
+
     /// Reads the file that the sources name.
     ///
     /// # Errors
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,34 +2,80 @@
 
 #![forbid(unsafe_code)]
 
+use clap::{Args, Parser, Subcommand, ValueEnum};
 use cleatpulley::config::{Config, Sources};
+use cleatpulley::operator::Operator;
+use std::path::PathBuf;
 use std::process::ExitCode;
+use tracing_subscriber::filter::Targets;
+use tracing_subscriber::layer::SubscriberExt;
+use tracing_subscriber::util::SubscriberInitExt;
 
-const HELP: &str = "\
-cleatpulley: a matcher that serves front ends within what its cores and its store can do
-
-Usage: cleatpulley <command> [options]
+/// A matcher that serves front ends within what its cores and its store can do.
+#[derive(Parser)]
+#[command(name = "cleatpulley", version, arg_required_else_help = true)]
+struct Cli {
+    /// How the log is written to standard error; RUST_LOG sets its level (error, warn, info, debug, trace)
+    #[arg(long, global = true, value_enum, default_value = "text")]
+    log: LogForm,
+    #[command(subcommand)]
+    command: Command,
+}
 
-Commands:
-  serve          serve until SIGTERM or SIGINT, then answer what is open and leave; SIGHUP reads the
-                 addresses of the runtime, the store and the directory again
-  check-config   read and check the configuration, and say what it comes to
-  version        print the version
+#[derive(Clone, Copy, ValueEnum)]
+enum LogForm {
+    /// A line of text for each event
+    Text,
+    /// A JSON object for each event
+    Json,
+}
 
-Options of serve and check-config, each before its variable and that before the file:
-  --config FILE  the configuration, as JSON  [GW_CONFIG]
-  --name NAME    the matcher's name          [GW_NAME]
-  --listen ADDR  where front ends connect    [GW_LISTEN]
+#[derive(Subcommand)]
+enum Command {
+    /// Serve until SIGTERM or SIGINT, then answer what is open and leave; SIGHUP reads the addresses of the
+    /// runtime, the store and the directory again
+    Serve(Sourced),
+    /// Read and check the configuration and the operator file, and say what they come to
+    CheckConfig(Sourced),
+    /// Print the version
+    Version,
+}
 
-  -h, --help     print this
+/// Each option comes before its variable, and that before the file.
+#[derive(Args)]
+struct Sourced {
+    /// The configuration, as JSON [env: GW_CONFIG]
+    #[arg(long, value_name = "FILE")]
+    config: Option<PathBuf>,
+    /// The matcher's name [env: GW_NAME]
+    #[arg(long)]
+    name: Option<String>,
+    /// Where front ends connect [env: GW_LISTEN]
+    #[arg(long, value_name = "ADDR")]
+    listen: Option<String>,
+    /// The operator file, a Jsonnet template; without one nothing beyond the platform's protocol is on
+    #[arg(long, value_name = "FILE")]
+    operator: Option<PathBuf>,
+}
 
-The log goes to standard error; RUST_LOG sets its level (error, warn, info, debug; info by default).
-";
+impl Sourced {
+    fn load(self) -> Result<(Config, Operator, Sources), String> {
+        let sources = Sources { file: self.config, name: self.name, listen: self.listen };
+        let sources = sources.or_environment(|key| std::env::var(key).ok());
+        let config = Config::load(&sources)?;
+        let operator = match &self.operator {
+            Some(file) => Operator::load(file, &config).map_err(|e| e.to_string())?,
+            None => Operator::default(),
+        };
+        Ok((config, operator, sources))
+    }
+}
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    match run() {
-        Ok(()) => ExitCode::SUCCESS,
+    let cli = Cli::parse();
+    log_to_standard_error(cli.log);
+    match run(cli.command) {
+        Ok(code) => code,
         Err(fault) => {
             eprintln!("cleatpulley: {fault}");
             ExitCode::FAILURE
@@ -37,21 +83,27 @@
     }
 }
 
-fn run() -> Result<(), String> {
-    let mut arguments = pico_args::Arguments::from_env();
-    if arguments.contains(["-h", "--help"]) {
-        print!("{HELP}");
-        return Ok(());
+fn log_to_standard_error(form: LogForm) {
+    let level = std::env::var("RUST_LOG").ok().and_then(|text| text.parse::<Targets>().ok());
+    let level = level.unwrap_or_else(|| Targets::new().with_default(tracing::Level::INFO));
+    let registry = tracing_subscriber::registry().with(level);
+    let layer = tracing_subscriber::fmt::layer().with_writer(std::io::stderr);
+    match form {
+        LogForm::Text => registry.with(layer.with_ansi(false)).init(),
+        LogForm::Json => registry.with(layer.json()).init(),
     }
-    let command = arguments.subcommand().map_err(|e| e.to_string())?;
-    match command.as_deref() {
-        Some("serve") => {
-            let sources = sources(arguments)?;
-            let config = Config::load(&sources)?;
-            cleatpulley::net::serve(config, sources).map_err(|e| e.to_string())
+}
+
+fn run(command: Command) -> Result<ExitCode, String> {
+    match command {
+        Command::Serve(sourced) => {
+            let (config, operator, sources) = sourced.load()?;
+            let reload = move || Config::load(&sources).map(|config| config.parties());
+            let options = config.options(operator);
+            cleatpulley::matcher::serve(options, Box::new(reload)).map_err(|e| e.to_string())?;
         }
-        Some("check-config") => {
-            let config = Config::load(&sources(arguments)?)?;
+        Command::CheckConfig(sourced) => {
+            let (config, operator, _) = sourced.load()?;
             println!(
                 "{}: listens on {}, runtime {}, store {}, directory {}; {} classes ({}), {} cores, {} sockets",
                 config.name,
@@ -64,32 +116,11 @@
                 config.settings.cores,
                 config.sockets,
             );
-            Ok(())
+            println!("{operator}");
         }
-        Some("version") => {
-            no_more(arguments)?;
+        Command::Version => {
             println!("cleatpulley {}", env!("CARGO_PKG_VERSION"));
-            Ok(())
         }
-        Some(other) => Err(format!("unknown command {other:?}; see cleatpulley --help")),
-        None => Err("no command; see cleatpulley --help".to_owned()),
-    }
-}
-
-fn sources(mut arguments: pico_args::Arguments) -> Result<Sources, String> {
-    let mut option = |key| arguments.opt_value_from_str::<_, String>(key).map_err(|e| e.to_string());
-    let sources = Sources {
-        file: option("--config")?.map(Into::into),
-        name: option("--name")?,
-        listen: option("--listen")?,
-    };
-    no_more(arguments)?;
-    Ok(sources.or_environment(|key| std::env::var(key).ok()))
-}
-
-fn no_more(arguments: pico_args::Arguments) -> Result<(), String> {
-    match arguments.finish().first() {
-        None => Ok(()),
-        Some(other) => Err(format!("unknown argument {other:?}; see cleatpulley --help")),
     }
+    Ok(ExitCode::SUCCESS)
 }
--- /dev/null
+++ b/src/operator.rs
@@ -0,0 +1,440 @@
+//! The operator file: what the platform's configuration does not know. A Jsonnet file with a section for each
+//! subsystem, all off unless they are there; read in this one place.
+
+use crate::config::Config;
+use cleatpulley_matcher::{store, AjpFront};
+use cleatpulley_policy::interface::{Effect, Micros};
+use cleatpulley_protocol::ajp::client;
+use cleatpulley_protocol::ajp::codec::{PACKET_SIZE, PACKET_SIZES};
+use cleatpulley_protocol::ajp::server::{Defaults, Figures, Settings, Source};
+use cleatpulley_protocol::ajp::table::{Entry, Table};
+use jrsonnet_evaluator::{EvaluationState, FileImportResolver};
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
+
+/// The largest body that may be set: beyond it a held request would be larger than what is booked for any.
+const LARGEST_BODY: usize = 1_048_576;
+/// What a body may take longer than its due time allows: the sweep that finds it, and the answer's way out.
+const MARGIN: Micros = 200_000;
+
+/// What is wrong with an operator file.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fault {
+    /// The file.
+    pub file: PathBuf,
+    /// The line, where it is known.
+    pub line: Option<usize>,
+    /// The key, such as `ajp.routes[2].class`; empty where the file as a whole is meant.
+    pub key: String,
+    /// What is wrong there.
+    pub what: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.file.display())?;
+        if let Some(line) = self.line {
+            write!(f, ":{line}")?;
+        }
+        if !self.key.is_empty() {
+            write!(f, ": {}", self.key)?;
+        }
+        write!(f, ": {}", self.what)
+    }
+}
+
+impl std::error::Error for Fault {}
+
+/// What an operator file switches on.
+#[derive(Debug, Clone, Default)]
+pub struct Operator {
+    /// The AJP front.
+    pub ajp: Option<AjpFront>,
+    /// How the store is called.
+    pub store: store::Speaks,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(deny_unknown_fields, default)]
+struct File {
+    ajp: Option<AjpSection>,
+    store: Option<StoreSection>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct AjpSection {
+    listen: Vec<String>,
+    #[serde(default)]
+    secret: Option<String>,
+    #[serde(default)]
+    packet_size: Option<usize>,
+    #[serde(default)]
+    max_body: Option<usize>,
+    #[serde(default)]
+    timeouts_ms: Timeouts,
+    #[serde(default)]
+    trusted_proxies: Vec<String>,
+    routes: Vec<Route>,
+    #[serde(default)]
+    figures: FiguresSection,
+    #[serde(default)]
+    defaults: DefaultsSection,
+    #[serde(default)]
+    classes: BTreeMap<String, DefaultsSection>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct Timeouts {
+    first_packet: u64,
+    body: u64,
+    idle: u64,
+}
+
+impl Default for Timeouts {
+    fn default() -> Self {
+        Self { first_packet: 2_000, body: 2_000, idle: 30_000 }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Route {
+    path: String,
+    #[serde(default = "post")]
+    methods: Vec<String>,
+    class: String,
+}
+
+fn post() -> Vec<String> {
+    vec!["POST".to_owned()]
+}
+
+#[derive(Deserialize, Default)]
+#[serde(deny_unknown_fields, default)]
+struct FiguresSection {
+    id: Option<String>,
+    door: Option<String>,
+    work_ms: Option<String>,
+    memory_kb: Option<String>,
+    rank: Option<String>,
+    caller: Option<String>,
+    subject: Option<String>,
+    key: Option<String>,
+}
+
+#[derive(Deserialize, Default, Clone)]
+#[serde(deny_unknown_fields, default)]
+struct DefaultsSection {
+    work_ms: Option<f64>,
+    memory_kb: Option<f64>,
+    rank: Option<f64>,
+    caller: Option<u64>,
+    needs_id: Option<bool>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct StoreSection {
+    protocol: String,
+    #[serde(default)]
+    secret: Option<String>,
+    #[serde(default)]
+    packet_size: Option<usize>,
+}
+
+/// A fault of a key, before the file and line are known.
+type Wrong = (String, String);
+
+fn wrong<T>(key: impl Into<String>, what: impl Into<String>) -> Result<T, Wrong> {
+    Err((key.into(), what.into()))
+}
+
+impl Operator {
+    /// Evaluates an operator file and checks it against the configuration that it goes with.
+    ///
+    /// # Errors
+    /// File, line where it is known, key, and what is wrong there.
+    pub fn load(file: &Path, config: &Config) -> Result<Self, Fault> {
+        let json = evaluate(file)?;
+        let source = std::fs::read_to_string(file).unwrap_or_default();
+        Self::parse(&json, config).map_err(|(key, what)| {
+            let line = locate(&source, &key, &what);
+            Fault { file: file.to_owned(), line, key, what }
+        })
+    }
+
+    fn parse(json: &str, config: &Config) -> Result<Self, Wrong> {
+        let mut reader = serde_json::Deserializer::from_str(json);
+        let file: File = serde_path_to_error::deserialize(&mut reader).map_err(|e| {
+            let key = e.path().to_string();
+            let what = e.into_inner().to_string();
+            // Lines of the evaluated text mean nothing to whoever wrote the template.
+            let what = what.split(" at line ").next().unwrap_or_default().to_owned();
+            (if key == "." { String::new() } else { key }, what)
+        })?;
+        Ok(Self {
+            ajp: file.ajp.map(|section| section.check(config)).transpose()?,
+            store: file.store.map(StoreSection::check).transpose()?.unwrap_or_default(),
+        })
+    }
+}
+
+/// Runs the template; the result is JSON.
+fn evaluate(file: &Path) -> Result<String, Fault> {
+    let state = EvaluationState::default();
+    state.with_stdlib();
+    let folder = file.parent().map(Path::to_owned).unwrap_or_default();
+    state.set_import_resolver(Box::new(FileImportResolver { library_paths: vec![folder] }));
+    let value = state.evaluate_file_raw(file).and_then(|value| state.manifest(value));
+    value.map(|json| json.to_string()).map_err(|e| {
+        let text = state.stringify_err(&e);
+        let mut lines = text.lines().map(str::trim).filter(|line| !line.is_empty());
+        let what = lines.next().unwrap_or("can't be evaluated").to_owned();
+        // The places follow, the innermost first, as FILE:LINE:COLUMN or FILE:LINE:FROM-TO.
+        let place = lines.next().and_then(|line| {
+            let (_, after) = line.split_once(".jsonnet:").or_else(|| line.split_once(".libsonnet:"))?;
+            after.split(|c: char| !c.is_ascii_digit()).next()?.parse().ok()
+        });
+        let rest: Vec<_> = lines.take(3).collect();
+        let what =
+            if rest.is_empty() || place.is_some() { what } else { format!("{what} ({})", rest.join(", ")) };
+        Fault { file: file.to_owned(), line: place, key: String::new(), what }
+    })
+}
+
+/// The line where a key is written, looked for part by part; the template may build it elsewhere, and then no line
+/// is told.
+fn locate(source: &str, key: &str, what: &str) -> Option<usize> {
+    let unknown = what.strip_prefix("unknown field `").and_then(|rest| rest.split('`').next());
+    let parts = key.split(['.', '[']).filter(|part| !part.ends_with(']') && !part.is_empty() && *part != "?");
+    let mut from = 0;
+    let mut found = None;
+    for part in parts.chain(unknown) {
+        let Some(at) = find_key(source, from, part) else { break };
+        from = at + part.len();
+        found = Some(at);
+    }
+    found.map(|at| source[..at].matches('\n').count() + 1)
+}
+
+fn find_key(source: &str, from: usize, name: &str) -> Option<usize> {
+    source[from..].match_indices(name).map(|(at, _)| from + at).find(|&at| {
+        let before = source[..at].chars().next_back();
+        let after = source[at + name.len()..].trim_start_matches(['"', '\'', ' ', '+']);
+        let comment =
+            source[..at].rsplit('\n').next().is_some_and(|line| line.contains("//") || line.contains('#'));
+        !comment && !before.is_some_and(|c| c.is_alphanumeric() || c == '_') && after.starts_with(':')
+    })
+}
+
+fn addresses(key: &str, texts: &[String]) -> Result<Vec<SocketAddr>, Wrong> {
+    let one = |(i, text): (usize, &String)| {
+        let what = || format!("{text:?} is not an address and port, such as 127.0.0.1:8009");
+        text.parse().map_err(|_| (format!("{key}[{i}]"), what()))
+    };
+    texts.iter().enumerate().map(one).collect()
+}
+
+fn packet_size(key: &str, size: Option<usize>) -> Result<usize, Wrong> {
+    let size = size.unwrap_or(PACKET_SIZE);
+    if !PACKET_SIZES.contains(&size) {
+        return wrong(
+            key,
+            format!("{size} is not within {} to {}", PACKET_SIZES.start(), PACKET_SIZES.end()),
+        );
+    }
+    Ok(size)
+}
+
+/// A header's name, or `attribute:` and the name of a request attribute.
+fn source(key: &str, text: Option<&String>) -> Result<Option<Source>, Wrong> {
+    let Some(text) = text else { return Ok(None) };
+    let (name, source): (&str, fn(String) -> Source) = match text.strip_prefix("attribute:") {
+        Some(name) => (name, Source::Attribute),
+        None => (text, Source::Header),
+    };
+    let plain = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    if name.is_empty() || !name.chars().all(plain) {
+        return wrong(format!("figures.{key}"), format!("{text:?} is not the name of a header or attribute"));
+    }
+    Ok(Some(source(name.to_owned())))
+}
+
+impl AjpSection {
+    fn check(self, config: &Config) -> Result<AjpFront, Wrong> {
+        self.checked(config).map_err(|(key, what)| (format!("ajp.{key}"), what))
+    }
+
+    fn checked(self, config: &Config) -> Result<AjpFront, Wrong> {
+        let listen = addresses("listen", &self.listen)?;
+        if listen.is_empty() {
+            return wrong("listen", "no address; leave the section out to switch AJP off");
+        }
+        match &self.secret {
+            Some(secret) if secret.is_empty() => return wrong("secret", "it is empty; null asks for none"),
+            Some(_) => {}
+            // Whoever reaches the port speaks for all callers: beyond this machine that takes a secret.
+            None => {
+                if let Some(i) = listen.iter().position(|address| !address.ip().is_loopback()) {
+                    let what = format!("{} is no loopback address, which takes a secret", listen[i]);
+                    return wrong(format!("listen[{i}]"), what);
+                }
+            }
+        }
+        let max_body = self.max_body.unwrap_or(2_048);
+        if max_body > LARGEST_BODY {
+            return wrong("max_body", format!("{max_body} is more than {LARGEST_BODY}"));
+        }
+        let time = |key: &str, ms: u64| match ms {
+            1..=86_400_000 => Ok(ms * 1_000),
+            _ => wrong(format!("timeouts_ms.{key}"), format!("{ms} is not within 1 to 86400000")),
+        };
+        let body = time("body", self.timeouts_ms.body)?;
+        // A body that comes late has to be answered by its request's due time.
+        let shortest = config.settings.classes.iter().map(|class| class.deadline).min().unwrap_or(0);
+        if body + MARGIN > shortest {
+            let what = format!(
+                "{} ms leave no time to answer: a class has {} ms in all",
+                body / 1_000,
+                shortest / 1_000
+            );
+            return wrong("timeouts_ms.body", what);
+        }
+        let mut trusted = Vec::new();
+        for (i, text) in self.trusted_proxies.iter().enumerate() {
+            match text.parse::<IpAddr>() {
+                Ok(address) => trusted.push(address),
+                Err(_) => return wrong(format!("trusted_proxies[{i}]"), format!("{text:?} is no address")),
+            }
+        }
+        if self.figures.door.is_some() && trusted.is_empty() {
+            return wrong(
+                "figures.door",
+                "it is believed of trusted proxies only, and trusted_proxies names none",
+            );
+        }
+        let class_of = |key: &str, name: &str| match config.class_names.iter().position(|known| known == name)
+        {
+            Some(class) => Ok(class),
+            None => wrong(key, format!("{name:?} is no class; there are {}", config.class_names.join(", "))),
+        };
+        let mut entries = Vec::new();
+        for (i, route) in self.routes.into_iter().enumerate() {
+            let class = class_of(&format!("routes[{i}].class"), &route.class)?;
+            entries.push(Entry { path: route.path, methods: route.methods, class });
+        }
+        if entries.is_empty() {
+            return wrong("routes", "no path leads to a class");
+        }
+        let table = Table::new(entries).map_err(|(i, what)| (format!("routes[{i}].path"), what))?;
+        for name in self.classes.keys() {
+            class_of(&format!("classes.{name}"), name)?;
+        }
+        let mut defaults = Vec::new();
+        for (name, class) in config.class_names.iter().zip(&config.settings.classes) {
+            let own = self.classes.get(name).cloned().unwrap_or_default();
+            let all = &self.defaults;
+            let found = Defaults {
+                work: (own.work_ms.or(all.work_ms).unwrap_or(0.0).max(0.0) * 1_000.0) as Micros,
+                memory_kb: own.memory_kb.or(all.memory_kb).unwrap_or(30.0),
+                rank: own.rank.or(all.rank).unwrap_or(0.5),
+                caller: own.caller.or(all.caller).unwrap_or(0),
+                needs_id: own.needs_id.or(all.needs_id).unwrap_or(class.effect != Effect::Safe),
+            };
+            let place = |key: &str| {
+                if self.classes.contains_key(name) {
+                    format!("classes.{name}.{key}")
+                } else {
+                    format!("defaults.{key}")
+                }
+            };
+            if !(found.memory_kb > 0.0 && found.memory_kb < 2_000.0) {
+                return wrong(
+                    place("memory_kb"),
+                    format!("{} is not above 0 and under 2000", found.memory_kb),
+                );
+            }
+            if !(0.0..1.0).contains(&found.rank) {
+                return wrong(place("rank"), format!("{} is not from 0 to under 1", found.rank));
+            }
+            if found.needs_id && self.figures.id.is_none() {
+                let what =
+                    format!("class {name:?} has an effect and needs ids, but no header is named for them");
+                return wrong("figures.id", what);
+            }
+            defaults.push(found);
+        }
+        let figures = &self.figures;
+        let settings = Settings {
+            secret: self.secret.map(String::into_bytes),
+            packet_size: packet_size("packet_size", self.packet_size)?,
+            max_body,
+            first_packet: time("first_packet", self.timeouts_ms.first_packet)?,
+            body,
+            idle: time("idle", self.timeouts_ms.idle)?,
+            table,
+            figures: Figures {
+                id: source("id", figures.id.as_ref())?,
+                door: source("door", figures.door.as_ref())?,
+                work_ms: source("work_ms", figures.work_ms.as_ref())?,
+                memory_kb: source("memory_kb", figures.memory_kb.as_ref())?,
+                rank: source("rank", figures.rank.as_ref())?,
+                caller: source("caller", figures.caller.as_ref())?,
+                subject: source("subject", figures.subject.as_ref())?,
+                key: source("key", figures.key.as_ref())?,
+            },
+            defaults,
+            seed: config.seed,
+        };
+        Ok(AjpFront { listen, trusted, settings })
+    }
+}
+
+impl StoreSection {
+    fn check(self) -> Result<store::Speaks, Wrong> {
+        match self.protocol.as_str() {
+            "http" if self.secret.is_some() => wrong("store.secret", "HTTP to the store knows no secret"),
+            "http" => Ok(store::Speaks::Http),
+            "ajp" => Ok(store::Speaks::Ajp(client::Options {
+                packet_size: packet_size("store.packet_size", self.packet_size)?,
+                secret: self.secret,
+                server: (String::new(), 0),
+            })),
+            other => wrong("store.protocol", format!("{other:?} is neither \"http\" nor \"ajp\"")),
+        }
+    }
+}
+
+impl fmt::Display for Operator {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.ajp {
+            None => writeln!(f, "ajp: off")?,
+            Some(front) => {
+                let listen: Vec<_> = front.listen.iter().map(ToString::to_string).collect();
+                let settings = &front.settings;
+                let ms = |micros: Micros| micros / 1_000;
+                writeln!(
+                    f,
+                    "ajp: listens on {}; secret {}; packets of {}, bodies of {} bytes at most; first packet {} ms, body {} ms, idle {} ms",
+                    listen.join(", "),
+                    if settings.secret.is_some() { "asked for" } else { "none" },
+                    settings.packet_size,
+                    settings.max_body,
+                    ms(settings.first_packet),
+                    ms(settings.body),
+                    ms(settings.idle),
+                )?;
+            }
+        }
+        let speaks = match &self.store {
+            store::Speaks::Http => "HTTP",
+            store::Speaks::Ajp(_) => "AJP",
+        };
+        write!(f, "store: called over {speaks}")
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,8 +1,8 @@
 //! The JSON wire: lines to [`Event`]s and [`Action`]s to lines. Translation only; no decisions here.
 
-use crate::balance::Controller;
-use crate::interface::{Action, Event, Gauges, Micros, Outcome, Request, RequestId};
-use crate::settings::BootInfo;
+use cleatpulley_policy::interface::{Action, Event, Gauges, Micros, Outcome, Request, RequestId};
+use cleatpulley_policy::settings::BootInfo;
+use cleatpulley_policy::Controller;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::BTreeMap;
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -81,22 +81,23 @@
 }
 
 #[test]
-fn the_program_says_what_is_wrong_and_ends_with_status_one() {
+fn the_program_says_what_is_wrong_and_ends_with_a_status_of_its_own() {
     let run = |arguments: &[&str]| {
         let program = env!("CARGO_BIN_EXE_cleatpulley");
         let output = Command::new(program).args(arguments).env_remove("GW_CONFIG").output().expect("it runs");
         (output.status.code(), String::from_utf8_lossy(&[output.stdout, output.stderr].concat()).into_owned())
     };
-    for (arguments, message) in [
-        (&["serve"][..], "GW_CONFIG"),
-        (&["serve", "--config", "/nowhere.json"], "/nowhere.json"),
-        (&["check-config", "--config", file!()], "expected value"),
-        (&["dance"], "unknown command \"dance\""),
-        (&["version", "--loud"], "unknown argument \"--loud\""),
-        (&[], "no command"),
+    // 1 is a fault of what the program was given to read, 2 one of the command line.
+    for (arguments, code, message) in [
+        (&["serve"][..], 1, "GW_CONFIG"),
+        (&["serve", "--config", "/nowhere.json"], 1, "/nowhere.json"),
+        (&["check-config", "--config", file!()], 1, "expected value"),
+        (&["dance"], 2, "unrecognized subcommand 'dance'"),
+        (&["version", "--loud"], 2, "unexpected argument '--loud'"),
+        (&[], 2, "Usage: cleatpulley"),
     ] {
-        let (code, said) = run(arguments);
-        assert!(code == Some(1) && said.contains(message), "{arguments:?}: {said}");
+        let (found, said) = run(arguments);
+        assert!(found == Some(code) && said.contains(message), "{arguments:?}: {said}");
     }
     assert!(Path::new(file!()).exists(), "tests run from the root");
     assert_eq!(run(&["version"]).0, Some(0));
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -76,6 +76,7 @@
         memory_kb: 10.0,
         rank: 0.5,
         has_subject: false,
+        key: None,
         body: vec![id as u8],
     }
 }
@@ -114,7 +115,7 @@
     let door = core.now - 3 * SECOND;
     assert_eq!(core.hear(Fact::Arrived(arrival(1, 1, door))).len(), 1);
     assert!(core.pass(4_900 * MS).is_empty());
-    assert_eq!(core.pass(100 * MS), [answered(1, Answer::Failed)]);
+    assert_eq!(core.pass(100 * MS), [answered(1, Answer::Expired)]);
     assert!(core.now <= door + 8 * SECOND + 60 * MS);
     assert!(core.end(1, Outcome::Success).is_empty());
 }
@@ -127,7 +128,7 @@
     let mut commands = Vec::new();
     core.exchange.advance(core.now, &mut commands);
     commands.retain(|command| matches!(command, Command::Answer { .. }));
-    assert_eq!(commands, [answered(1, Answer::Failed)]);
+    assert_eq!(commands, [answered(1, Answer::Expired)]);
     assert_eq!(core.exchange.unanswered(), 0);
 }
 
@@ -136,7 +137,7 @@
     let mut core = Core::new(|_| {});
     let ahead = core.now + 3_600 * SECOND;
     assert_eq!(core.hear(Fact::Arrived(arrival(1, 1, ahead))), [start(1, 1)]);
-    assert_eq!(core.pass(8 * SECOND), [answered(1, Answer::Failed)], "due as if it came now");
+    assert_eq!(core.pass(8 * SECOND), [answered(1, Answer::Expired)], "due as if it came now");
     let refused = core.hear(Fact::Arrived(arrival(2, 0, 0)));
     assert!(
         matches!(&refused[..], [Command::Answer { answer: Answer::Refused { .. }, .. }]),
@@ -200,7 +201,7 @@
     let mut core = Core::new(|s| s.cores = 1);
     core.arrive(1, 1);
     assert!(core.hear(doubt(Order::Start)).is_empty());
-    assert_eq!(core.pass(8 * SECOND), [answered(1, Answer::Failed)]);
+    assert_eq!(core.pass(8 * SECOND), [answered(1, Answer::Expired)]);
     assert_eq!(core.arrive(2, 1), [start(2, 1)]);
     // What has gone on since is settled by that.
     let mut core = Core::new(|_| {});
--- /dev/null
+++ b/tests/operator.rs
@@ -0,0 +1,101 @@
+//! The operator file: what it comes to, and faults that name file, line and key.
+
+use cleatpulley::config::{Config, Sources};
+use cleatpulley::operator::Operator;
+use cleatpulley::protocol::ajp::table::Found;
+use serde_json::json;
+use std::path::Path;
+
+fn config() -> Config {
+    let class = |name: &str, effect: &str| json!({"name": name, "effect": effect, "give_up": 6_000_000, "on_time": 2_000_000});
+    let value = json!({
+        "name": "n3", "listen": "127.0.0.1:5050", "runtime": "127.0.0.1:7300", "lookup": "127.0.0.1:7946",
+        "store": "127.0.0.1:9042",
+        "settings": {
+            "classes": [class("find-race", "idempotent"), class("lobby-view", "idempotent"),
+                        class("set-prefs", "idempotent"), class("claim-seat", "at_most_once")],
+            "tick": 2000, "specifics": {"cores": 2, "memory_kb": 10_000.0}
+        }
+    });
+    Config::parse(&value.to_string(), &Sources::default()).expect("good")
+}
+
+fn load(name: &str, text: &str) -> Result<Operator, String> {
+    let file = std::env::temp_dir().join(format!("cleatpulley-{}-{name}.jsonnet", std::process::id()));
+    std::fs::write(&file, text).expect("a file");
+    let loaded = Operator::load(&file, &config());
+    std::fs::remove_file(&file).expect("it is there");
+    loaded.map_err(|fault| {
+        let text = fault.to_string();
+        text.split_once(".jsonnet").map(|(_, rest)| rest.to_owned()).unwrap_or(text)
+    })
+}
+
+#[test]
+fn the_example_is_good_and_an_empty_file_switches_nothing_on() {
+    let operator = Operator::load(Path::new("deploy/operator.jsonnet"), &config()).expect("good");
+    let front = operator.ajp.as_ref().expect("it is on");
+    assert_eq!(front.settings.table.find(b"POST", b"/claim-seat"), Found::Class(3));
+    assert_eq!(front.settings.defaults[3].work, 180_000);
+    assert!(front.settings.defaults[3].needs_id && !front.settings.defaults[0].needs_id);
+    let empty = load("empty", "{}").expect("good");
+    assert!(empty.ajp.is_none());
+    assert_eq!(empty.to_string(), "ajp: off\nstore: called over HTTP");
+}
+
+#[test]
+fn faults_name_line_and_key() {
+    let with = |rest: &str| {
+        format!("{{\n  ajp: {{\n    listen: ['127.0.0.1:1'],\n    figures: {{ id: 'X-Id' }},\n    routes: [{{ path: '/a', class: 'find-race' }}],\n    {rest}\n  }},\n}}\n")
+    };
+    for (name, text, expected) in [
+        ("syntax", "{\n  ajp: [1 2],\n}".to_owned(), ":2: "),
+        ("undefined", "{\n\n  ajp: nothing,\n}".to_owned(), ":3: variable is not defined: nothing"),
+        ("unknown", with("packets: 9"), ":6: ajp.packets: unknown field `packets`"),
+        ("section", "{\n  ajb: {},\n}".to_owned(), ":2: ajb: unknown field `ajb`"),
+        ("type", with("packet_size: 'big'"), ":6: ajp.packet_size: invalid type: string \"big\""),
+        ("size", with("packet_size: 100"), ":6: ajp.packet_size: 100 is not within 8192 to 65536"),
+        (
+            "class",
+            with("routes: [{ path: '/b', class: 'spin' }]").replacen(
+                "    routes: [{ path: '/a', class: 'find-race' }],\n",
+                "",
+                1,
+            ),
+            ":5: ajp.routes[0].class: \"spin\" is no class",
+        ),
+        (
+            "open",
+            with("listen: ['10.0.0.1:8009']").replacen("    listen: ['127.0.0.1:1'],\n", "", 1),
+            ":5: ajp.listen[0]: 10.0.0.1:8009 is no loopback address, which takes a secret",
+        ),
+        ("body", with("timeouts_ms: { body: 6000 }"), ":6: ajp.timeouts_ms.body: 6000 ms leave no time"),
+        (
+            "door",
+            with("figures+: { door: 'X-Door' }").replacen("    figures: { id: 'X-Id' },\n", "", 1),
+            ":5: ajp.figures.door: it is believed of trusted proxies only",
+        ),
+        ("rank", with("defaults: { rank: 1 }"), ":6: ajp.defaults.rank: 1 is not from 0 to under 1"),
+        ("secret", with("secret: ''"), ":6: ajp.secret: it is empty"),
+        (
+            "store",
+            "{\n  store: { protocol: 'smtp' },\n}".to_owned(),
+            ":2: store.protocol: \"smtp\" is neither",
+        ),
+    ] {
+        let fault = load(name, &text).expect_err(name);
+        assert!(fault.starts_with(expected), "{name}: {fault}");
+    }
+    let missing = Operator::load(Path::new("/nowhere.jsonnet"), &config()).expect_err("there is none");
+    assert!(missing.to_string().contains("/nowhere.jsonnet"), "{missing}");
+}
+
+#[test]
+fn a_class_with_an_effect_needs_an_id_unless_the_operator_says_otherwise() {
+    let text = |rest: &str| {
+        format!("{{ ajp: {{ listen: ['127.0.0.1:1'], routes: [{{ path: '/a', class: 'claim-seat' }}], {rest} }} }}")
+    };
+    let fault = load("no-id", &text("")).expect_err("no header is named");
+    assert!(fault.contains("ajp.figures.id: class \"claim-seat\" has an effect"), "{fault}");
+    load("waived", &text("defaults: { needs_id: false }")).expect("the operator has said so");
+}
