--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The tasks of this repository; each is what its name says.
 CONFIG ?= $(GW_CONFIG)
 
-.PHONY: build test lint run
+.PHONY: build test lint run demo check-ajp bench-ajp
 build:
 	cargo build --locked --release
 
@@ -16,3 +16,11 @@
 # make run CONFIG=config.json
 run: build
 	target/release/cleatpulley serve --config $(CONFIG)
+
+# Stand-ins, a matcher and callers by frames and by AJP, in under 20 s.
+demo: build
+	target/release/cleatpulley demo
+
+# The AJP front measured beside httparse and beside frames; 1 where it falls short.
+check-ajp bench-ajp: build
+	target/release/cleatpulley check ajp
--- /dev/null
+++ b/crates/standin/src/callers.rs
@@ -0,0 +1,583 @@
+//! Callers that ask on a schedule, whatever is answered: front ends by frames, proxies by AJP. They keep books of
+//! their own, apart from the matcher's, from which the rules are judged.
+
+use crate::runtime::result_of;
+use crate::{Effect, Link, Service};
+use cleatpulley_policy::interface::Micros;
+use cleatpulley_protocol::ajp::client::{Client, Options, Request, Response};
+use cleatpulley_protocol::ajp::codec::PACKET_SIZE;
+use cleatpulley_protocol::ajp::server::RETRY_AFTER_MS;
+use cleatpulley_protocol::frame::codec::{self, Parsed};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
+
+/// What callers speak.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Front {
+    /// Frames, many requests on a connection.
+    Frames,
+    /// AJP, one request at a time on a connection.
+    Ajp,
+}
+
+impl std::fmt::Display for Front {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.pad(match self {
+            Self::Frames => "frames",
+            Self::Ajp => "AJP",
+        })
+    }
+}
+
+/// A class as its callers see it.
+#[derive(Debug, Clone)]
+pub struct Kind {
+    /// Its name; by AJP its path is a slash and this.
+    pub name: String,
+    /// Share of the requests.
+    pub share: f64,
+    /// The hint of its work, in microseconds.
+    pub work: Micros,
+    /// An answer is wanted within this time.
+    pub aim: Micros,
+    /// A final answer is owed within this time.
+    pub deadline: Micros,
+}
+
+/// What callers do.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// What they speak.
+    pub front: Front,
+    /// Where the matcher listens for it.
+    pub to: SocketAddr,
+    /// Connections at most.
+    pub connections: usize,
+    /// Requests a second, each until this time after the beginning.
+    pub rates: Vec<(Micros, f64)>,
+    /// The classes.
+    pub kinds: Vec<Kind>,
+    /// Bytes of a body.
+    pub body: usize,
+    /// A secret, for AJP.
+    pub secret: Option<String>,
+    /// Numbers of callers.
+    pub callers: std::ops::Range<u64>,
+    /// An answer may come so much later than it is owed.
+    pub slack: Micros,
+    /// Gaps between requests are drawn, and not even.
+    pub random_gaps: bool,
+    /// For random numbers; two plans of one run need two seeds.
+    pub seed: u64,
+}
+
+/// What became of the requests of a class.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Sent.
+    pub asked: u64,
+    /// Served within the wanted time.
+    pub in_time: u64,
+    /// Served later.
+    pub late: u64,
+    /// Turned away, with the time to come back.
+    pub refused_with_time: u64,
+    /// Turned away without.
+    pub refused_bare: u64,
+    /// Refused within a tenth of the wanted time.
+    pub refused_early: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Not answered, though their connection stood or was accepted.
+    pub lost: u64,
+    /// Their connection was refused: nothing ran.
+    pub unreachable: u64,
+    /// Answered after the time that an answer is owed in.
+    pub overdue: u64,
+    /// Served with something that no run made for them.
+    pub wrong: u64,
+}
+
+impl Tally {
+    /// Adds another's figures.
+    pub fn add(&mut self, other: &Self) {
+        self.asked += other.asked;
+        self.in_time += other.in_time;
+        self.late += other.late;
+        self.refused_with_time += other.refused_with_time;
+        self.refused_bare += other.refused_bare;
+        self.refused_early += other.refused_early;
+        self.failed += other.failed;
+        self.lost += other.lost;
+        self.unreachable += other.unreachable;
+        self.overdue += other.overdue;
+        self.wrong += other.wrong;
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Asked {
+    id: u64,
+    kind: usize,
+    at: Micros,
+}
+
+struct FrameLink {
+    up: bool,
+    gone: bool,
+    input: Vec<u8>,
+    open: BTreeMap<u32, Asked>,
+    streams: u32,
+    /// Sent once the connection stands.
+    waiting: Vec<u8>,
+}
+
+struct AjpLink {
+    client: Client,
+    input: Vec<u8>,
+    asked: Option<Asked>,
+    waiting: Vec<u8>,
+    up: bool,
+}
+
+/// The callers.
+pub struct Callers {
+    plan: Plan,
+    begin: Micros,
+    next_at: Option<Micros>,
+    random: SmallRng,
+    links: Link,
+    frames: BTreeMap<Link, FrameLink>,
+    ajp: HashMap<Link, AjpLink>,
+    idle: Vec<Link>,
+    queue: VecDeque<Asked>,
+    /// By class.
+    pub tallies: Vec<Tally>,
+    /// Answers that belong to no open request.
+    pub stray: u64,
+    /// Latencies of what was served, from the time it was meant to be sent.
+    pub latencies: Vec<Micros>,
+    /// Ids turned away, which must never have run.
+    pub refused: Vec<u64>,
+    /// All ids, and when they were meant to be sent.
+    pub sent: Vec<(u64, Micros)>,
+    over: bool,
+}
+
+impl Callers {
+    /// Callers that begin at this time.
+    #[must_use]
+    pub fn new(plan: Plan, begin: Micros) -> Self {
+        let tallies = vec![Tally::default(); plan.kinds.len()];
+        let random = SmallRng::seed_from_u64(plan.seed);
+        Self {
+            plan,
+            begin,
+            next_at: Some(begin),
+            random,
+            links: 1,
+            frames: BTreeMap::new(),
+            ajp: HashMap::new(),
+            idle: Vec::new(),
+            queue: VecDeque::new(),
+            tallies,
+            stray: 0,
+            latencies: Vec::new(),
+            refused: Vec::new(),
+            sent: Vec::new(),
+            over: false,
+        }
+    }
+
+    /// What they do.
+    #[must_use]
+    pub fn plan(&self) -> &Plan {
+        &self.plan
+    }
+
+    /// Nothing more is sent, and nothing is waited for.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.next_at.is_none() && self.open() == 0
+    }
+
+    /// Requests without an answer so far.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        let frames: usize = self.frames.values().map(|link| link.open.len()).sum();
+        frames + self.ajp.values().filter(|link| link.asked.is_some()).count() + self.queue.len()
+    }
+
+    /// Sends nothing more.
+    pub fn stop(&mut self) {
+        self.next_at = None;
+    }
+
+    /// Counts what has no answer as lost; nothing more is taken.
+    pub fn finish(&mut self) {
+        self.next_at = None;
+        if std::mem::replace(&mut self.over, true) {
+            return;
+        }
+        let frames = self.frames.values_mut().flat_map(|link| std::mem::take(&mut link.open).into_values());
+        let ajp = self.ajp.values_mut().filter_map(|link| link.asked.take());
+        for asked in frames.chain(ajp).chain(self.queue.drain(..)) {
+            self.tallies[asked.kind].lost += 1;
+        }
+    }
+
+    /// All classes together.
+    #[must_use]
+    pub fn total(&self) -> Tally {
+        let mut total = Tally::default();
+        self.tallies.iter().for_each(|tally| total.add(tally));
+        total
+    }
+
+    fn rate(&self, now: Micros) -> Option<f64> {
+        let since = now.saturating_sub(self.begin);
+        self.plan.rates.iter().find(|(until, _)| since < *until).map(|(_, rate)| *rate)
+    }
+
+    fn ask(&mut self, now: Micros, at: Micros, out: &mut Vec<Effect>) {
+        let mut place = self.random.random_range(0.0..self.plan.kinds.iter().map(|kind| kind.share).sum());
+        let mut kind = 0;
+        for (i, other) in self.plan.kinds.iter().enumerate() {
+            kind = i;
+            place -= other.share;
+            if place < 0.0 {
+                break;
+            }
+        }
+        let asked = Asked { id: self.random.random(), kind, at };
+        self.tallies[kind].asked += 1;
+        self.sent.push((asked.id, at));
+        match self.plan.front {
+            Front::Frames => self.ask_by_frames(asked, out),
+            Front::Ajp => {
+                self.queue.push_back(asked);
+                self.ask_by_ajp(now, out);
+            }
+        }
+    }
+
+    fn ask_by_frames(&mut self, asked: Asked, out: &mut Vec<Effect>) {
+        let best = self.frames.iter().filter(|(_, link)| !link.gone && link.open.len() < 32);
+        let best = best.min_by_key(|(_, link)| link.open.len()).map(|(link, l)| (*link, l.open.len()));
+        let link = match best {
+            Some((link, open)) if open == 0 || self.frames.len() >= self.plan.connections => link,
+            _ if self.frames.len() < self.plan.connections => {
+                self.links += 2;
+                out.push(Effect::Dial(self.links, self.plan.to));
+                let fresh = FrameLink {
+                    up: false,
+                    gone: false,
+                    input: Vec::new(),
+                    open: BTreeMap::new(),
+                    streams: 0,
+                    waiting: Vec::new(),
+                };
+                self.frames.insert(self.links, fresh);
+                self.links
+            }
+            // No place: this request is never sent, as a front end would do.
+            _ => {
+                self.tallies[asked.kind].unreachable += 1;
+                return;
+            }
+        };
+        let kind = &self.plan.kinds[asked.kind];
+        let caller = self.random.random_range(self.plan.callers.clone());
+        let rank: f64 = self.random.random_range(0.0..0.99);
+        let Some(line) = self.frames.get_mut(&link) else { return };
+        line.streams += 1;
+        let fields = [
+            ("verb", kind.name.clone()),
+            ("txn", format!("{:016x}", asked.id)),
+            ("door", (asked.at / 1_000).to_string()),
+            ("lb", caller.to_string()),
+            ("cpu", format!("{:.2}", kind.work as f64 / 1_000.0)),
+            ("ram", "20".to_owned()),
+            ("standing", format!("{rank:.4}")),
+        ];
+        let mut payload = vec![fields.len() as u8];
+        for (name, value) in &fields {
+            payload.push(name.len() as u8);
+            payload.extend_from_slice(name.as_bytes());
+            payload.extend_from_slice(&(value.len() as u16).to_be_bytes());
+            payload.extend_from_slice(value.as_bytes());
+        }
+        payload.resize(payload.len() + self.plan.body, b'.');
+        let mut frame = ((payload.len() + 5) as u32).to_be_bytes().to_vec();
+        frame.push(codec::REQUEST);
+        frame.extend_from_slice(&line.streams.to_be_bytes());
+        frame.extend_from_slice(&payload);
+        line.open.insert(line.streams, asked);
+        if line.up {
+            out.push(Effect::Send(link, frame));
+        } else {
+            line.waiting.extend_from_slice(&frame);
+        }
+    }
+
+    fn ask_by_ajp(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        while let Some(asked) = self.queue.pop_front() {
+            let link = match self.idle.pop() {
+                Some(link) => link,
+                None if self.ajp.len() < self.plan.connections => {
+                    self.links += 2;
+                    out.push(Effect::Dial(self.links, self.plan.to));
+                    let options = Options {
+                        packet_size: PACKET_SIZE,
+                        secret: self.plan.secret.clone(),
+                        server: ("matcher".to_owned(), self.plan.to.port()),
+                    };
+                    let client = Client::new(options, now);
+                    let fresh =
+                        AjpLink { client, input: Vec::new(), asked: None, waiting: Vec::new(), up: false };
+                    self.ajp.insert(self.links, fresh);
+                    self.links
+                }
+                None => {
+                    self.queue.push_front(asked);
+                    return;
+                }
+            };
+            let kind = &self.plan.kinds[asked.kind];
+            let caller = self.random.random_range(self.plan.callers.clone()).to_string();
+            let rank = format!("{:.4}", self.random.random_range(0.0..0.99));
+            let (id, work) = (format!("{:016x}", asked.id), format!("{:.2}", kind.work as f64 / 1_000.0));
+            let (door, uri, body) =
+                ((asked.at / 1_000).to_string(), format!("/{}", kind.name), vec![b'.'; self.plan.body]);
+            let headers = [
+                ("X-Request-Id", id.as_str()),
+                ("X-Work-Ms", &work),
+                ("X-Memory-Kb", "20"),
+                ("X-Rank", &rank),
+                ("X-Caller", &caller),
+                ("X-Door", &door),
+                ("Host", "matcher"),
+            ];
+            let request = Request { method: "POST", uri: &uri, headers: &headers, body: &body };
+            let Some(line) = self.ajp.get_mut(&link) else { continue };
+            let mut bytes = Vec::new();
+            // So few headers fit.
+            let _ = line.client.request(now, &request, &mut bytes);
+            line.asked = Some(asked);
+            if line.up {
+                out.push(Effect::Send(link, bytes));
+            } else {
+                line.waiting.extend_from_slice(&bytes);
+            }
+        }
+    }
+
+    fn answered(&mut self, now: Micros, asked: &Asked, answer: Said) {
+        let kind = &self.plan.kinds[asked.kind];
+        let tally = &mut self.tallies[asked.kind];
+        let latency = now.saturating_sub(asked.at);
+        if latency > kind.deadline + self.plan.slack {
+            tally.overdue += 1;
+        }
+        match answer {
+            Said::Served(result) => {
+                if result != result_of(asked.id) {
+                    tally.wrong += 1;
+                } else if latency <= kind.aim {
+                    tally.in_time += 1;
+                } else {
+                    tally.late += 1;
+                }
+                self.latencies.push(latency);
+            }
+            Said::Refused(later) => {
+                if later > 0 {
+                    tally.refused_with_time += 1;
+                } else {
+                    tally.refused_bare += 1;
+                }
+                if latency * 10 <= kind.aim {
+                    tally.refused_early += 1;
+                }
+                self.refused.push(asked.id);
+            }
+            Said::Failed => tally.failed += 1,
+        }
+    }
+
+    fn frames_came(&mut self, now: Micros, link: Link, bytes: &[u8], out: &mut Vec<Effect>) {
+        let Some(line) = self.frames.get_mut(&link) else { return };
+        line.input.extend_from_slice(bytes);
+        let input = std::mem::take(&mut line.input);
+        let mut used = 0;
+        let mut answers = Vec::new();
+        while let Parsed::Frame { kind, stream, payload } = codec::parse(&input[used..]) {
+            let end = payload.end;
+            let payload = &input[used..][payload];
+            used += end;
+            match kind {
+                codec::ANSWER => match line.open.remove(&stream) {
+                    Some(asked) => answers.push((asked, said(payload))),
+                    None => self.stray += 1,
+                },
+                codec::GOODBYE => line.gone = true,
+                _ => self.stray += 1,
+            }
+        }
+        line.input = input[used..].to_vec();
+        if line.gone && line.open.is_empty() {
+            self.frames.remove(&link);
+            out.push(Effect::Close(link));
+        }
+        for (asked, said) in answers {
+            match said {
+                Some(said) => self.answered(now, &asked, said),
+                None => self.tallies[asked.kind].wrong += 1,
+            }
+        }
+    }
+
+    fn ajp_came(&mut self, now: Micros, link: Link, bytes: &[u8], out: &mut Vec<Effect>) {
+        let Some(line) = self.ajp.get_mut(&link) else { return };
+        line.input.extend_from_slice(bytes);
+        let mut more = Vec::new();
+        let taken = line.client.receive(now, &line.input, &mut more);
+        if !more.is_empty() {
+            out.push(Effect::Send(link, more));
+        }
+        let Ok(used) = taken else {
+            self.stray += 1;
+            out.push(Effect::Reset(link));
+            self.closed(now, link, out);
+            return;
+        };
+        line.input.drain(..used);
+        if let Some(response) = line.client.take() {
+            if response.reuse {
+                self.idle.push(link);
+            } else {
+                out.push(Effect::Close(link));
+            }
+            let asked = line.asked.take();
+            if !response.reuse {
+                self.ajp.remove(&link);
+            }
+            match asked {
+                Some(asked) => {
+                    let said = said_by_ajp(&response);
+                    self.answered(now, &asked, said);
+                }
+                None => self.stray += 1,
+            }
+            self.ask_by_ajp(now, out);
+        }
+    }
+}
+
+enum Said {
+    Served(Vec<u8>),
+    /// With so many milliseconds to stay away.
+    Refused(u64),
+    Failed,
+}
+
+fn said_by_ajp(response: &Response) -> Said {
+    match response.status {
+        200 => Said::Served(response.body.clone()),
+        503 if response.not_run() => {
+            Said::Refused(response.header(RETRY_AFTER_MS).and_then(|ms| ms.parse().ok()).unwrap_or(0))
+        }
+        _ => Said::Failed,
+    }
+}
+
+/// Reads the payload of an answer frame.
+fn said(payload: &[u8]) -> Option<Said> {
+    let (&code, mut rest) = payload.split_first()?;
+    let (&count, after) = rest.split_first()?;
+    rest = after;
+    let mut later = 0;
+    for _ in 0..count {
+        let (&size, after) = rest.split_first()?;
+        let (name, after) = after.split_at_checked(usize::from(size))?;
+        let (size, after) = after.split_first_chunk()?;
+        let (value, after) = after.split_at_checked(usize::from(u16::from_be_bytes(*size)))?;
+        if name == b"later" {
+            later = std::str::from_utf8(value).ok()?.parse().ok()?;
+        }
+        rest = after;
+    }
+    match code {
+        0 => Some(Said::Served(rest.to_vec())),
+        1 => Some(Said::Refused(later)),
+        2 => Some(Said::Failed),
+        _ => None,
+    }
+}
+
+impl Service for Callers {
+    fn opened(&mut self, _: Micros, link: Link, out: &mut Vec<Effect>) {
+        let waiting = if let Some(line) = self.frames.get_mut(&link) {
+            line.up = true;
+            std::mem::take(&mut line.waiting)
+        } else if let Some(line) = self.ajp.get_mut(&link) {
+            line.up = true;
+            std::mem::take(&mut line.waiting)
+        } else {
+            return;
+        };
+        out.push(Effect::Send(link, waiting));
+    }
+
+    fn received(&mut self, now: Micros, link: Link, bytes: &[u8], out: &mut Vec<Effect>) {
+        match self.plan.front {
+            Front::Frames => self.frames_came(now, link, bytes, out),
+            Front::Ajp => self.ajp_came(now, link, bytes, out),
+        }
+    }
+
+    fn closed(&mut self, now: Micros, link: Link, out: &mut Vec<Effect>) {
+        self.idle.retain(|idle| *idle != link);
+        let mut lost = Vec::new();
+        let mut up = true;
+        if let Some(line) = self.frames.remove(&link) {
+            up = line.up;
+            lost.extend(line.open.into_values());
+        }
+        if let Some(line) = self.ajp.remove(&link) {
+            up = line.up;
+            lost.extend(line.asked);
+        }
+        for asked in lost {
+            let tally = &mut self.tallies[asked.kind];
+            if up {
+                tally.lost += 1;
+            } else {
+                tally.unreachable += 1;
+            }
+        }
+        if self.plan.front == Front::Ajp {
+            self.ask_by_ajp(now, out);
+        }
+    }
+
+    fn advance(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        while let Some(at) = self.next_at.filter(|at| *at <= now) {
+            let Some(rate) = self.rate(at) else {
+                self.next_at = None;
+                return;
+            };
+            self.ask(now, at, out);
+            let mean = 1e6 / rate.max(0.001);
+            let draw: f64 = self.random.random_range(1e-9..1.0);
+            let gap = if self.plan.random_gaps { -draw.ln() * mean } else { mean };
+            self.next_at = Some(at + (gap as Micros).max(1));
+        }
+    }
+
+    fn next(&self) -> Option<Micros> {
+        self.next_at
+    }
+}
--- /dev/null
+++ b/crates/standin/src/host.rs
@@ -0,0 +1,327 @@
+//! Services on loopback sockets: one thread, one poller.
+
+use crate::{Effect, Link, Service};
+use cleatpulley_policy::interface::Micros;
+use mio::net::{TcpListener, TcpStream};
+use mio::{Events, Interest, Poll, Token};
+use std::collections::HashMap;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// A service that others may look at while it runs.
+pub type Shared<S> = Arc<Mutex<S>>;
+
+/// A service that may be looked at.
+pub fn shared<S: Service>(service: S) -> Shared<S> {
+    Arc::new(Mutex::new(service))
+}
+
+/// Looks at a shared service.
+pub fn look<S: ?Sized, T>(shared: &Mutex<S>, with: impl FnOnce(&mut S) -> T) -> T {
+    with(&mut shared.lock().unwrap_or_else(PoisonError::into_inner))
+}
+
+/// Longest wait without a look at whether it is over.
+const BREATH: Micros = 20_000;
+const CHUNK: usize = 65_536;
+
+/// Microseconds of the Unix clock, monotonic from the first use on.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    unix: Micros,
+    start: Instant,
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |t| t.as_micros() as Micros);
+        Self { unix, start: Instant::now() }
+    }
+}
+
+impl Clock {
+    /// The time.
+    #[must_use]
+    pub fn now(&self) -> Micros {
+        self.unix + self.start.elapsed().as_micros() as Micros
+    }
+}
+
+struct Port {
+    listener: Option<TcpListener>,
+    service: Arc<Mutex<dyn Service>>,
+}
+
+struct Wire {
+    stream: TcpStream,
+    port: usize,
+    link: Link,
+    out: Vec<u8>,
+    sent: usize,
+    connected: bool,
+    closing: bool,
+}
+
+/// Services that wait to be started.
+#[derive(Default)]
+pub struct Host {
+    ports: Vec<Port>,
+}
+
+/// A host that runs; it stops when this is dropped.
+pub struct Running {
+    over: Arc<AtomicBool>,
+    thread: Option<std::thread::JoinHandle<()>>,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.over.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Host {
+    /// Adds a service that listens; returns where.
+    ///
+    /// # Errors
+    /// Where the address can't be listened on.
+    pub fn listen(&mut self, at: SocketAddr, service: Arc<Mutex<dyn Service>>) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind(at)?;
+        let address = listener.local_addr()?;
+        self.ports.push(Port { listener: Some(listener), service });
+        Ok(address)
+    }
+
+    /// Adds a service that only dials.
+    pub fn add(&mut self, service: Arc<Mutex<dyn Service>>) {
+        self.ports.push(Port { listener: None, service });
+    }
+
+    /// Runs in a thread of its own.
+    ///
+    /// # Errors
+    /// Where the system has no poller.
+    pub fn start(mut self, clock: Clock) -> io::Result<Running> {
+        let poll = Poll::new()?;
+        for (place, port) in self.ports.iter_mut().enumerate() {
+            if let Some(listener) = &mut port.listener {
+                poll.registry().register(listener, Token(place), Interest::READABLE)?;
+            }
+        }
+        let next_key = self.ports.len();
+        let over = Arc::new(AtomicBool::new(false));
+        let mut work = Work {
+            poll,
+            ports: self.ports,
+            wires: HashMap::new(),
+            keys: HashMap::new(),
+            next_key,
+            accepted: 0,
+            clock,
+            buffer: vec![0; CHUNK],
+            effects: Vec::new(),
+        };
+        let told = Arc::clone(&over);
+        let thread = std::thread::spawn(move || {
+            let mut events = Events::with_capacity(1_024);
+            while !told.load(Ordering::Relaxed) {
+                if work.turn(&mut events).is_err() {
+                    return;
+                }
+            }
+        });
+        Ok(Running { over, thread: Some(thread) })
+    }
+}
+
+struct Work {
+    poll: Poll,
+    ports: Vec<Port>,
+    wires: HashMap<usize, Wire>,
+    keys: HashMap<(usize, Link), usize>,
+    next_key: usize,
+    accepted: Link,
+    clock: Clock,
+    buffer: Vec<u8>,
+    effects: Vec<Effect>,
+}
+
+impl Work {
+    fn turn(&mut self, events: &mut Events) -> io::Result<()> {
+        let now = self.clock.now();
+        let next = self.ports.iter().filter_map(|port| look(&port.service, |service| service.next())).min();
+        let wait = next.map_or(BREATH, |at| at.saturating_sub(now)).min(BREATH);
+        match self.poll.poll(events, Some(Duration::from_micros(wait))) {
+            Err(e) if e.kind() != ErrorKind::Interrupted => return Err(e),
+            _ => {}
+        }
+        let now = self.clock.now();
+        for event in events.iter() {
+            let Token(key) = event.token();
+            if key < self.ports.len() {
+                self.accept(now, key);
+            } else {
+                self.ready(now, key, event.is_writable());
+            }
+        }
+        for place in 0..self.ports.len() {
+            let due = look(&self.ports[place].service, |service| service.next()).is_some_and(|at| at <= now);
+            if due {
+                self.tell(place, |service, effects| service.advance(now, effects));
+            }
+        }
+        Ok(())
+    }
+
+    /// Tells a service something, and carries out what it wants done.
+    fn tell(&mut self, place: usize, what: impl FnOnce(&mut dyn Service, &mut Vec<Effect>)) {
+        let mut effects = std::mem::take(&mut self.effects);
+        look(&self.ports[place].service, |service| what(service, &mut effects));
+        while !effects.is_empty() {
+            let mut lost = Vec::new();
+            for effect in effects.drain(..) {
+                lost.extend(self.carry_out(place, effect));
+            }
+            let now = self.clock.now();
+            for link in lost {
+                look(&self.ports[place].service, |service| service.closed(now, link, &mut effects));
+            }
+        }
+        self.effects = effects;
+    }
+
+    /// Does what a service wants; returns a link that could not be made or broke.
+    fn carry_out(&mut self, place: usize, effect: Effect) -> Option<Link> {
+        match effect {
+            Effect::Send(link, bytes) => {
+                let key = *self.keys.get(&(place, link))?;
+                let wire = self.wires.get_mut(&key)?;
+                wire.out.extend_from_slice(&bytes);
+                if wire.connected && flush(wire).is_err() {
+                    self.drop_wire(key);
+                    return Some(link);
+                }
+                None
+            }
+            Effect::Close(link) => {
+                let key = *self.keys.get(&(place, link))?;
+                let wire = self.wires.get_mut(&key)?;
+                wire.closing = true;
+                if wire.sent == wire.out.len() {
+                    self.drop_wire(key);
+                }
+                None
+            }
+            Effect::Reset(link) => {
+                let key = *self.keys.get(&(place, link))?;
+                if let Some(wire) = self.wires.get(&key) {
+                    let _ = socket2::SockRef::from(&wire.stream).set_linger(Some(Duration::ZERO));
+                }
+                self.drop_wire(key);
+                None
+            }
+            Effect::Dial(link, address) => match TcpStream::connect(address) {
+                Ok(stream) => self.add(place, link, stream, false).is_none().then_some(link),
+                Err(_) => Some(link),
+            },
+        }
+    }
+
+    fn add(&mut self, port: usize, link: Link, mut stream: TcpStream, connected: bool) -> Option<usize> {
+        let key = self.next_key;
+        self.next_key += 1;
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        self.poll.registry().register(&mut stream, Token(key), interest).ok()?;
+        let _ = stream.set_nodelay(true);
+        let wire = Wire { stream, port, link, out: Vec::new(), sent: 0, connected, closing: false };
+        self.wires.insert(key, wire);
+        self.keys.insert((port, link), key);
+        Some(key)
+    }
+
+    fn drop_wire(&mut self, key: usize) {
+        if let Some(mut wire) = self.wires.remove(&key) {
+            self.keys.remove(&(wire.port, wire.link));
+            let _ = self.poll.registry().deregister(&mut wire.stream);
+        }
+    }
+
+    fn accept(&mut self, now: Micros, place: usize) {
+        while let Some(Ok((stream, _))) = self.ports[place].listener.as_ref().map(TcpListener::accept) {
+            self.accepted += 2;
+            let link = self.accepted;
+            if self.add(place, link, stream, true).is_some() {
+                self.tell(place, |service, effects| service.opened(now, link, effects));
+            }
+        }
+    }
+
+    fn ready(&mut self, now: Micros, key: usize, writable: bool) {
+        let Some(wire) = self.wires.get_mut(&key) else { return };
+        let (place, link) = (wire.port, wire.link);
+        if writable && !wire.connected {
+            // The first writability tells how the connecting went.
+            let failed =
+                wire.stream.take_error().ok().flatten().is_some() || wire.stream.peer_addr().is_err();
+            if failed {
+                self.lose(now, key, place, link);
+                return;
+            }
+            wire.connected = true;
+            self.tell(place, |service, effects| service.opened(now, link, effects));
+        }
+        let Some(wire) = self.wires.get_mut(&key) else { return };
+        if wire.connected && flush(wire).is_err() {
+            self.lose(now, key, place, link);
+            return;
+        }
+        if wire.closing && wire.sent == wire.out.len() {
+            self.drop_wire(key);
+            return;
+        }
+        let mut buffer = std::mem::take(&mut self.buffer);
+        while let Some(wire) = self.wires.get_mut(&key) {
+            match wire.stream.read(&mut buffer) {
+                Ok(0) => {
+                    self.lose(now, key, place, link);
+                    break;
+                }
+                Ok(n) => {
+                    self.tell(place, |service, effects| service.received(now, link, &buffer[..n], effects))
+                }
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::NotConnected) => break,
+                Err(_) => {
+                    self.lose(now, key, place, link);
+                    break;
+                }
+            }
+        }
+        self.buffer = buffer;
+    }
+
+    fn lose(&mut self, now: Micros, key: usize, place: usize, link: Link) {
+        self.drop_wire(key);
+        self.tell(place, |service, effects| service.closed(now, link, effects));
+    }
+}
+
+fn flush(wire: &mut Wire) -> io::Result<()> {
+    while wire.sent < wire.out.len() {
+        match wire.stream.write(&wire.out[wire.sent..]) {
+            Ok(n) => wire.sent += n,
+            Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+    }
+    wire.out.clear();
+    wire.sent = 0;
+    Ok(())
+}
--- /dev/null
+++ b/crates/standin/src/matcher.rs
@@ -0,0 +1,165 @@
+//! A matcher as a child process: started with a configuration and an operator file, watched through its log.
+
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::Value;
+use std::io::{self, BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// A start takes no longer, or it failed.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// The process; it is killed when this is dropped.
+pub struct Matcher {
+    child: Child,
+    folder: PathBuf,
+    log: Arc<Mutex<Vec<String>>>,
+    /// Where it listens for frames.
+    pub frames: SocketAddr,
+    /// Where it listens for AJP, if it does.
+    pub ajp: Option<SocketAddr>,
+}
+
+impl Drop for Matcher {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Matcher {
+    /// Starts `program serve` and waits until it listens.
+    ///
+    /// # Errors
+    /// Where it does not; its log is part of what is told.
+    pub fn start(program: &Path, config: &Value, operator: Option<&str>) -> io::Result<Self> {
+        static NUMBER: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(0);
+        let number = NUMBER.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let folder = std::env::temp_dir().join(format!("cleatpulley-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        let file = folder.join("config.json");
+        std::fs::write(&file, config.to_string())?;
+        let mut command = Command::new(program);
+        command.arg("serve").arg("--config").arg(&file);
+        if let Some(text) = operator {
+            let file = folder.join("operator.jsonnet");
+            std::fs::write(&file, text)?;
+            command.arg("--operator").arg(&file);
+        }
+        for variable in ["GW_CONFIG", "GW_NAME", "GW_LISTEN"] {
+            command.env_remove(variable);
+        }
+        let mut child = command.stdin(Stdio::null()).stderr(Stdio::piped()).spawn()?;
+        let log = Arc::new(Mutex::new(Vec::new()));
+        if let Some(stderr) = child.stderr.take() {
+            let log = Arc::clone(&log);
+            std::thread::spawn(move || {
+                for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+                    log.lock().unwrap_or_else(PoisonError::into_inner).push(line);
+                }
+            });
+        }
+        let mut matcher = Self { child, folder, log, frames: ([127, 0, 0, 1], 0).into(), ajp: None };
+        matcher.frames = matcher.wait_for_address("listens on ")?;
+        if operator.is_some_and(|text| text.contains("ajp:")) {
+            matcher.ajp = Some(matcher.wait_for_address("speaks AJP on ")?);
+        }
+        matcher.wait_for("runtime: running")?;
+        Ok(matcher)
+    }
+
+    /// Its log so far.
+    #[must_use]
+    pub fn log(&self) -> Vec<String> {
+        self.log.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Waits for a line of the log with this in it.
+    ///
+    /// # Errors
+    /// Where it does not come, with the log.
+    pub fn wait_for(&mut self, text: &str) -> io::Result<String> {
+        let since = Instant::now();
+        loop {
+            if let Some(line) = self.log().into_iter().find(|line| line.contains(text)) {
+                return Ok(line);
+            }
+            let ended = self.child.try_wait()?.is_some();
+            if ended || since.elapsed() > PATIENCE {
+                // What it said last may still be on its way here.
+                std::thread::sleep(Duration::from_millis(50));
+                return Err(io::Error::other(format!("no {text:?} in its log:\n{}", self.log().join("\n"))));
+            }
+            std::thread::sleep(Duration::from_millis(2));
+        }
+    }
+
+    fn wait_for_address(&mut self, text: &str) -> io::Result<SocketAddr> {
+        let line = self.wait_for(text)?;
+        let address = line.split(text).nth(1).map(str::trim).and_then(|text| text.parse().ok());
+        address.ok_or_else(|| io::Error::other(format!("no address in {line:?}")))
+    }
+
+    /// The notice to leave.
+    pub fn terminate(&self) {
+        if let Some(pid) = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw) {
+            // A process that is gone already is no failure here: waiting for it tells how it went.
+            let _ = kill_process(pid, Signal::TERM);
+        }
+    }
+
+    /// Waits for its end.
+    ///
+    /// # Errors
+    /// Where it does not end in this time.
+    pub fn wait(&mut self, patience: Duration) -> io::Result<ExitStatus> {
+        let since = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(status);
+            }
+            if since.elapsed() > patience {
+                return Err(io::Error::other("it does not end"));
+            }
+            std::thread::sleep(Duration::from_millis(2));
+        }
+    }
+
+    /// It still runs.
+    pub fn is_alive(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    fn stat(&self, name: &str) -> Option<String> {
+        std::fs::read_to_string(format!("/proc/{}/{name}", self.child.id())).ok()
+    }
+
+    /// Its memory in KB, now and at its peak, where the system tells.
+    #[must_use]
+    pub fn memory_kb(&self) -> Option<(u64, u64)> {
+        let status = self.stat("status")?;
+        let find = |key: &str| {
+            let line = status.lines().find(|line| line.starts_with(key))?;
+            line.split_whitespace().nth(1)?.parse().ok()
+        };
+        Some((find("VmRSS:")?, find("VmHWM:")?))
+    }
+
+    /// CPU that it used, in microseconds, where the system tells.
+    #[must_use]
+    pub fn cpu(&self) -> Option<u64> {
+        // In nanoseconds, and exact, where the system keeps it.
+        let stat = self.stat("schedstat")?;
+        stat.split_whitespace().next()?.parse::<u64>().ok().map(|ns| ns / 1_000)
+    }
+
+    /// Descriptors that it holds, where the system tells.
+    #[must_use]
+    pub fn descriptors(&self) -> Option<usize> {
+        Some(std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).ok()?.count())
+    }
+}
--- /dev/null
+++ b/crates/standin/src/runtime.rs
@@ -0,0 +1,377 @@
+//! The runtime's stand-in: cores shared by what runs, cold starts, calls, gauges, and notices that are kept and
+//! told again on a new link.
+
+use crate::{Effect, Link, Service};
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine;
+use cleatpulley_policy::interface::Micros;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde::Deserialize;
+use serde_json::json;
+use std::collections::{BTreeSet, HashMap, VecDeque};
+
+/// Notices that are kept for a new link.
+const KEPT: usize = 4_000;
+
+/// What the runs of a class are like.
+#[derive(Debug, Clone)]
+pub struct Kind {
+    /// The class's name.
+    pub name: String,
+    /// Work on one core of speed 1, from and to.
+    pub work: (Micros, Micros),
+    /// Calls of a run, from and to.
+    pub calls: (u32, u32),
+    /// It must not run twice.
+    pub once: bool,
+}
+
+/// How a runtime is set up.
+#[derive(Debug, Clone)]
+pub struct Setup {
+    /// The classes.
+    pub kinds: Vec<Kind>,
+    /// Cores.
+    pub cores: f64,
+    /// Speed of a warm core.
+    pub speed: f64,
+    /// Share of its speed that a cold core has.
+    pub cold_from: f64,
+    /// A cold core is warm after this time.
+    pub warm_after: Micros,
+    /// Runs end in the step that starts them; nothing is simulated.
+    pub instant: bool,
+    /// Of a thousand results, so many are faults.
+    pub faults_per_mille: u32,
+    /// For random numbers.
+    pub seed: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Stage {
+    /// On the cores, until so much work was done for each that runs.
+    Working(f64),
+    /// Waits for the call that this notice asked for.
+    Waiting(u64),
+}
+
+#[derive(Debug)]
+struct Run {
+    kind: usize,
+    started: Micros,
+    stage: Stage,
+    /// Work between two calls.
+    piece: f64,
+    calls: u32,
+}
+
+/// What was seen, for whoever checks the rules.
+#[derive(Debug, Clone, Default)]
+pub struct Seen {
+    /// Starts of each request, by id: class, how often, and when last.
+    pub starts: HashMap<u64, (usize, u32, Micros)>,
+    /// Most runs at once.
+    pub most_running: usize,
+    /// Runs that ended well.
+    pub fine: u64,
+    /// Commands that could not be read.
+    pub unreadable: u64,
+}
+
+/// The stand-in.
+pub struct Runtime {
+    setup: Setup,
+    since: Micros,
+    at: Micros,
+    /// Work that each run on the cores has had so far.
+    done: f64,
+    runs: HashMap<u64, Run>,
+    working: BTreeSet<(u64, u64)>,
+    link: Option<Link>,
+    input: Vec<u8>,
+    notices: VecDeque<(u64, String)>,
+    number: u64,
+    synced: bool,
+    /// No link is taken and none stands, until this time.
+    down_until: Option<Micros>,
+    /// What was seen.
+    pub seen: Seen,
+    /// Times slower than usual.
+    pub slowing: f64,
+}
+
+#[derive(Deserialize)]
+struct Command {
+    t: String,
+    #[serde(default)]
+    no: u64,
+    #[serde(default)]
+    rid: String,
+    #[serde(default)]
+    route: String,
+    #[serde(default)]
+    b64: String,
+    #[serde(default)]
+    mark: String,
+}
+
+/// The result that the stand-in makes for a request: nobody else's result looks like it.
+#[must_use]
+pub fn result_of(id: u64) -> Vec<u8> {
+    format!("grid of {id:016x}").into_bytes()
+}
+
+impl Runtime {
+    /// A runtime that came up at this time.
+    #[must_use]
+    pub fn new(setup: Setup, now: Micros) -> Self {
+        Self {
+            setup,
+            since: now,
+            at: now,
+            done: 0.0,
+            runs: HashMap::new(),
+            working: BTreeSet::new(),
+            link: None,
+            input: Vec::new(),
+            notices: VecDeque::new(),
+            number: 0,
+            synced: false,
+            down_until: None,
+            seen: Seen::default(),
+            slowing: 1.0,
+        }
+    }
+
+    /// Breaks the link at once and takes none until this time; runs go on.
+    pub fn break_link(&mut self, until: Micros, out: &mut Vec<Effect>) {
+        self.down_until = Some(until);
+        if let Some(link) = self.link.take() {
+            out.push(Effect::Reset(link));
+        }
+        self.synced = false;
+    }
+
+    /// Requests that run or wait for a call.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Work that each run gets in a microsecond.
+    fn rate(&self) -> f64 {
+        let running = self.working.len() as f64;
+        if running == 0.0 {
+            return 0.0;
+        }
+        let age = self.at.saturating_sub(self.since) as f64 / self.setup.warm_after.max(1) as f64;
+        let warmth = (self.setup.cold_from + (1.0 - self.setup.cold_from) * age).min(1.0);
+        let share = (self.setup.cores / running).min(1.0);
+        share * self.setup.speed * warmth / self.slowing.max(0.01)
+    }
+
+    fn pass(&mut self, now: Micros) {
+        self.done += self.rate() * now.saturating_sub(self.at) as f64;
+        self.at = self.at.max(now);
+    }
+
+    fn work_on(&mut self, id: u64) {
+        let done = self.done;
+        if let Some(run) = self.runs.get_mut(&id) {
+            let until = done + run.piece;
+            run.stage = Stage::Working(until);
+            self.working.insert((until.to_bits(), id));
+        }
+    }
+
+    fn notice(&mut self, mut value: serde_json::Value, out: &mut Vec<Effect>) -> u64 {
+        self.number += 1;
+        value["no"] = json!(self.number);
+        let line = format!("{value}\n");
+        if let Some(link) = self.link.filter(|_| self.synced) {
+            out.push(Effect::Send(link, line.clone().into_bytes()));
+        }
+        self.notices.push_back((self.number, line));
+        if self.notices.len() > KEPT {
+            self.notices.pop_front();
+        }
+        self.number
+    }
+
+    fn end(&mut self, now: Micros, id: u64, out: &mut Vec<Effect>) {
+        let Some(run) = self.runs.remove(&id) else { return };
+        let mut random = SmallRng::seed_from_u64(self.setup.seed ^ id.rotate_left(17));
+        let ms = now.saturating_sub(run.started) as f64 / 1_000.0;
+        if random.random_range(0..1_000) < self.setup.faults_per_mille {
+            let notice = json!({"t": "end", "rid": format!("{id:016x}"), "status": "fault", "time_ms": ms});
+            self.notice(notice, out);
+            return;
+        }
+        self.seen.fine += 1;
+        let b64 = STANDARD.encode(result_of(id));
+        let notice =
+            json!({"t": "end", "rid": format!("{id:016x}"), "status": "fine", "time_ms": ms, "b64": b64});
+        self.notice(notice, out);
+    }
+
+    fn command(&mut self, now: Micros, link: Link, line: &[u8], out: &mut Vec<Effect>) {
+        let Ok(command) = serde_json::from_slice::<Command>(line) else {
+            self.seen.unreadable += 1;
+            out.push(Effect::Close(link));
+            self.link = None;
+            self.synced = false;
+            return;
+        };
+        let nack = |status: &str| {
+            Effect::Send(
+                link,
+                format!("{}\n", json!({"t": "nack", "status": status, "rid": command.rid})).into_bytes(),
+            )
+        };
+        match command.t.as_str() {
+            "sync" => {
+                let ms = now.saturating_sub(self.since) as f64 / 1_000.0;
+                let ready = json!({"t": "ready", "status": "running", "time_ms": ms});
+                let mut text = format!("{ready}\n");
+                self.notices
+                    .iter()
+                    .filter(|notice| notice.0 > command.no)
+                    .for_each(|notice| text += &notice.1);
+                out.push(Effect::Send(link, text.into_bytes()));
+                self.synced = true;
+            }
+            "start" => {
+                let kind = self.setup.kinds.iter().position(|kind| kind.name == command.route);
+                let body = STANDARD.decode(&command.b64);
+                match (kind, u64::from_str_radix(&command.rid, 16), body) {
+                    (Some(kind), Ok(id), Ok(_)) => self.start(now, kind, id, out),
+                    _ => out.push(nack("start")),
+                }
+            }
+            "give" | "omit" => {
+                let id = u64::from_str_radix(&command.rid, 16).unwrap_or_default();
+                let waits = self.runs.get(&id).map(|run| run.stage);
+                match waits {
+                    Some(Stage::Waiting(number)) if command.t == "give" || command.no == number => {
+                        self.work_on(id);
+                    }
+                    Some(_) => {}
+                    // A run that is over needs nothing any more.
+                    None if self.seen.starts.contains_key(&id) => {}
+                    None => out.push(nack(&command.t)),
+                }
+            }
+            "gauges" => {
+                let running = self.working.len() as f64;
+                let v = [(running / self.setup.cores).min(1.0), running, 0.0, 0.0];
+                let load = json!({"t": "load", "mark": command.mark, "v": v});
+                out.push(Effect::Send(link, format!("{load}\n").into_bytes()));
+            }
+            _ => {
+                self.seen.unreadable += 1;
+                out.push(Effect::Close(link));
+                self.link = None;
+                self.synced = false;
+            }
+        }
+    }
+
+    fn start(&mut self, now: Micros, kind: usize, id: u64, out: &mut Vec<Effect>) {
+        if self.runs.contains_key(&id) {
+            return;
+        }
+        let seen = self.seen.starts.entry(id).or_insert((kind, 0, now));
+        seen.1 += 1;
+        seen.2 = now;
+        let mut random = SmallRng::seed_from_u64(self.setup.seed ^ id);
+        let of = &self.setup.kinds[kind];
+        let work = random.random_range(of.work.0..=of.work.1) as f64;
+        let calls = random.random_range(of.calls.0..=of.calls.1);
+        let piece = work / f64::from(calls + 1);
+        self.runs.insert(id, Run { kind, started: now, stage: Stage::Waiting(0), piece, calls });
+        self.seen.most_running = self.seen.most_running.max(self.runs.len());
+        if self.setup.instant {
+            self.end(now, id, out);
+        } else {
+            self.work_on(id);
+        }
+    }
+
+    /// Ids of requests that must not run twice and did.
+    #[must_use]
+    pub fn run_twice(&self) -> Vec<u64> {
+        let twice = |seen: &&(usize, u32, Micros)| seen.1 > 1 && self.setup.kinds[seen.0].once;
+        self.seen.starts.iter().filter(|(_, seen)| twice(seen)).map(|(id, _)| *id).collect()
+    }
+}
+
+impl Service for Runtime {
+    fn opened(&mut self, now: Micros, link: Link, out: &mut Vec<Effect>) {
+        if self.down_until.is_some_and(|until| now < until) {
+            out.push(Effect::Reset(link));
+            return;
+        }
+        // A new link replaces the one before it.
+        if let Some(old) = self.link.replace(link) {
+            out.push(Effect::Close(old));
+        }
+        self.synced = false;
+        self.input.clear();
+    }
+
+    fn received(&mut self, now: Micros, link: Link, bytes: &[u8], out: &mut Vec<Effect>) {
+        if self.link != Some(link) {
+            return;
+        }
+        self.pass(now);
+        let mut input = std::mem::take(&mut self.input);
+        input.extend_from_slice(bytes);
+        let mut used = 0;
+        while let Some(length) = input[used..].iter().position(|b| *b == b'\n') {
+            let line = &input[used..used + length];
+            used += length + 1;
+            if self.link == Some(link) {
+                self.command(now, link, line, out);
+            }
+        }
+        input.drain(..used);
+        self.input = input;
+    }
+
+    fn closed(&mut self, _: Micros, link: Link, _: &mut Vec<Effect>) {
+        if self.link == Some(link) {
+            self.link = None;
+            self.synced = false;
+        }
+    }
+
+    fn advance(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        self.pass(now);
+        while let Some(&(until, id)) = self.working.first() {
+            if f64::from_bits(until) > self.done {
+                break;
+            }
+            self.working.pop_first();
+            let Some(run) = self.runs.get_mut(&id) else { continue };
+            if run.calls == 0 {
+                self.end(now, id, out);
+                continue;
+            }
+            run.calls -= 1;
+            let kind = run.kind;
+            let call = STANDARD.encode(format!("call of {}", self.setup.kinds[kind].name));
+            let number = self.notice(json!({"t": "wants", "rid": format!("{id:016x}"), "b64": call}), out);
+            if let Some(run) = self.runs.get_mut(&id) {
+                run.stage = Stage::Waiting(number);
+            }
+        }
+    }
+
+    fn next(&self) -> Option<Micros> {
+        let &(until, _) = self.working.first()?;
+        let wait = (f64::from_bits(until) - self.done).max(0.0) / self.rate().max(1e-9);
+        // A core that warms gets faster meanwhile.
+        Some(self.at + (wait.ceil() as Micros).clamp(1, 50_000))
+    }
+}
--- /dev/null
+++ b/crates/standin/src/store.rs
@@ -0,0 +1,310 @@
+//! The store's stand-in: calls over HTTP or AJP, whichever a connection begins with; slots, a line, slowing when
+//! crowded, and replies that are lost, refused or cut off.
+
+use crate::{Effect, Link, Service};
+use cleatpulley_policy::interface::Micros;
+use cleatpulley_protocol::ajp::codec::{self, kind, Forward, Way, MOST_HEADERS, NO_HEADER, PACKET_SIZE};
+use cleatpulley_protocol::ajp::server::NOT_RUN;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeSet, HashMap};
+
+/// How a store is set up.
+#[derive(Debug, Clone)]
+pub struct Setup {
+    /// Calls that it works on at once without slowing.
+    pub slots: usize,
+    /// Time of a call while it is not crowded.
+    pub time: Micros,
+    /// Each further call beyond the slots makes all slower by this share.
+    pub thrash: f64,
+    /// Of a thousand calls, so many are turned away unseen.
+    pub refused_per_mille: u32,
+    /// Of a thousand calls, so many run and get no reply.
+    pub lost_per_mille: u32,
+    /// Of a thousand calls, so many run and end in a reset.
+    pub reset_per_mille: u32,
+    /// Of a thousand calls, so many fail.
+    pub failed_per_mille: u32,
+    /// For random numbers.
+    pub seed: u64,
+}
+
+impl Default for Setup {
+    fn default() -> Self {
+        Self {
+            slots: 64,
+            time: 10_000,
+            thrash: 0.02,
+            refused_per_mille: 0,
+            lost_per_mille: 0,
+            reset_per_mille: 0,
+            failed_per_mille: 0,
+            seed: 1,
+        }
+    }
+}
+
+/// What was seen.
+#[derive(Debug, Clone, Default)]
+pub struct Seen {
+    /// Calls read.
+    pub calls: u64,
+    /// Those that came over AJP.
+    pub ajp_calls: u64,
+    /// Most calls at once.
+    pub most: usize,
+    /// Connections accepted.
+    pub connections: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Fate {
+    Served,
+    Failed,
+    Refused,
+    Lost,
+    Reset,
+}
+
+#[derive(Debug, Default)]
+struct Caller {
+    input: Vec<u8>,
+    /// It speaks AJP; not known before its first byte.
+    ajp: Option<bool>,
+    /// The rest of an AJP body that is still to come.
+    body_left: usize,
+    /// A call is being worked on.
+    busy: bool,
+}
+
+/// The stand-in.
+pub struct Store {
+    setup: Setup,
+    callers: HashMap<Link, Caller>,
+    ends: BTreeSet<(Micros, Link)>,
+    fates: HashMap<Link, (Micros, Fate)>,
+    random: SmallRng,
+    /// What was seen.
+    pub seen: Seen,
+    /// Times slower than usual.
+    pub slowing: f64,
+}
+
+impl Store {
+    /// A store.
+    #[must_use]
+    pub fn new(setup: Setup) -> Self {
+        let random = SmallRng::seed_from_u64(setup.seed);
+        Self {
+            setup,
+            callers: HashMap::new(),
+            ends: BTreeSet::new(),
+            fates: HashMap::new(),
+            random,
+            seen: Seen::default(),
+            slowing: 1.0,
+        }
+    }
+
+    fn begin(&mut self, now: Micros, link: Link) {
+        self.seen.calls += 1;
+        let at = self.random.random_range(0..1_000);
+        let setup = &self.setup;
+        let mut bound = 0;
+        let mut fate = Fate::Served;
+        for (share, other) in [
+            (setup.refused_per_mille, Fate::Refused),
+            (setup.lost_per_mille, Fate::Lost),
+            (setup.reset_per_mille, Fate::Reset),
+            (setup.failed_per_mille, Fate::Failed),
+        ] {
+            if at >= bound && at < bound + share {
+                fate = other;
+            }
+            bound += share;
+        }
+        let crowd = (self.ends.len() + 1).saturating_sub(setup.slots) as f64;
+        let time = setup.time as f64 * (1.0 + setup.thrash * crowd) * self.slowing;
+        let end = now + if fate == Fate::Refused { 0 } else { time as Micros };
+        self.ends.insert((end, link));
+        self.seen.most = self.seen.most.max(self.ends.len());
+        self.fates.insert(link, (end, fate));
+        if let Some(caller) = self.callers.get_mut(&link) {
+            caller.busy = true;
+        }
+    }
+
+    /// Reads what is whole of a caller's bytes; one call at a time.
+    fn read(&mut self, now: Micros, link: Link, out: &mut Vec<Effect>) {
+        loop {
+            let Some(caller) = self.callers.get_mut(&link) else { return };
+            if caller.busy {
+                return;
+            }
+            let Some(&first) = caller.input.first() else { return };
+            let ajp = *caller.ajp.get_or_insert(first == 0x12);
+            let read = if ajp { read_ajp(caller) } else { read_http(caller) };
+            match read {
+                Ok(Read::Short) => return,
+                Ok(Read::Passed(bytes)) => {
+                    if !bytes.is_empty() {
+                        out.push(Effect::Send(link, bytes));
+                    }
+                }
+                Ok(Read::Call) => {
+                    self.seen.ajp_calls += u64::from(ajp);
+                    self.begin(now, link);
+                }
+                Err(()) => {
+                    self.forget(link);
+                    out.push(Effect::Close(link));
+                    return;
+                }
+            }
+        }
+    }
+
+    fn forget(&mut self, link: Link) {
+        self.callers.remove(&link);
+        if let Some((end, _)) = self.fates.remove(&link) {
+            self.ends.remove(&(end, link));
+        }
+    }
+}
+
+enum Read {
+    Short,
+    /// Something that is no call, and what is sent for it.
+    Passed(Vec<u8>),
+    Call,
+}
+
+fn read_http(caller: &mut Caller) -> Result<Read, ()> {
+    let mut headers = [httparse::EMPTY_HEADER; 32];
+    let mut request = httparse::Request::new(&mut headers);
+    let head = match request.parse(&caller.input) {
+        Ok(httparse::Status::Complete(head)) => head,
+        Ok(httparse::Status::Partial) => return Ok(Read::Short),
+        Err(_) => return Err(()),
+    };
+    let length = request.headers.iter().find(|header| header.name.eq_ignore_ascii_case("Content-Length"));
+    let length = length.and_then(|header| std::str::from_utf8(header.value).ok()?.trim().parse().ok());
+    let whole = head + length.unwrap_or(0usize).min(1_048_576);
+    if caller.input.len() < whole {
+        return Ok(Read::Short);
+    }
+    caller.input.drain(..whole);
+    Ok(Read::Call)
+}
+
+fn read_ajp(caller: &mut Caller) -> Result<Read, ()> {
+    let payload = match codec::packet(&caller.input, Way::ToServer, PACKET_SIZE) {
+        Ok(Some(payload)) => payload,
+        Ok(None) => return Ok(Read::Short),
+        Err(_) => return Err(()),
+    };
+    let end = payload.end;
+    let bytes = &caller.input[payload];
+    let read = if caller.body_left > 0 {
+        let data = codec::body(bytes).map_err(|_| ())?.len();
+        caller.body_left = caller.body_left.checked_sub(data).ok_or(())?;
+        if caller.body_left == 0 {
+            Read::Call
+        } else {
+            let mut ask = Vec::new();
+            codec::push_get_body(&mut ask, caller.body_left.min(PACKET_SIZE - codec::BODY_OVERHEAD));
+            Read::Passed(ask)
+        }
+    } else if bytes == [kind::CPING] {
+        let mut pong = Vec::new();
+        codec::push_cpong(&mut pong);
+        Read::Passed(pong)
+    } else {
+        let mut headers = [NO_HEADER; MOST_HEADERS];
+        let request = Forward::decode(bytes, &mut headers).map_err(|_| ())?;
+        let length = request.header("content-length").map(|value| std::str::from_utf8(value).unwrap_or("x"));
+        caller.body_left = length.map_or(Ok(0), |text| text.parse::<usize>().map_err(|_| ()))?;
+        if caller.body_left == 0 {
+            Read::Call
+        } else {
+            Read::Passed(Vec::new())
+        }
+    };
+    caller.input.drain(..end);
+    Ok(read)
+}
+
+fn reply(ajp: bool, fate: Fate) -> Vec<u8> {
+    let (status, message, body) = match fate {
+        Fate::Refused => (503, "Service Unavailable", &b""[..]),
+        Fate::Failed => (500, "Internal Server Error", &b""[..]),
+        _ => (200, "OK", &b"entry of the ledger"[..]),
+    };
+    let length = body.len().to_string();
+    let mut headers = vec![("Content-Length", length.as_str())];
+    if fate == Fate::Refused {
+        headers.push((NOT_RUN, "1"));
+    }
+    let mut out = Vec::new();
+    if ajp {
+        // So little fits into any packet.
+        let _ = codec::push_send_headers(&mut out, status, message, &headers, PACKET_SIZE);
+        codec::push_chunks(&mut out, body, PACKET_SIZE);
+        codec::push_end(&mut out, true);
+    } else {
+        out.extend_from_slice(format!("HTTP/1.1 {status} {message}\r\n").as_bytes());
+        for (name, value) in headers {
+            out.extend_from_slice(format!("{name}: {value}\r\n").as_bytes());
+        }
+        out.extend_from_slice(b"\r\n");
+        out.extend_from_slice(body);
+    }
+    out
+}
+
+impl Service for Store {
+    fn opened(&mut self, _: Micros, link: Link, _: &mut Vec<Effect>) {
+        self.seen.connections += 1;
+        self.callers.insert(link, Caller::default());
+    }
+
+    fn received(&mut self, now: Micros, link: Link, bytes: &[u8], out: &mut Vec<Effect>) {
+        if let Some(caller) = self.callers.get_mut(&link) {
+            caller.input.extend_from_slice(bytes);
+            self.read(now, link, out);
+        }
+    }
+
+    fn closed(&mut self, _: Micros, link: Link, _: &mut Vec<Effect>) {
+        // Closing the connection gives up the call.
+        self.forget(link);
+    }
+
+    fn advance(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        while let Some(&(end, link)) = self.ends.first() {
+            if end > now {
+                break;
+            }
+            self.ends.pop_first();
+            let Some((_, fate)) = self.fates.remove(&link) else { continue };
+            let Some(caller) = self.callers.get_mut(&link) else { continue };
+            caller.busy = false;
+            match fate {
+                Fate::Lost => caller.busy = true,
+                Fate::Reset => {
+                    self.callers.remove(&link);
+                    out.push(Effect::Reset(link));
+                }
+                fate => {
+                    out.push(Effect::Send(link, reply(caller.ajp == Some(true), fate)));
+                    self.read(now, link, out);
+                }
+            }
+        }
+    }
+
+    fn next(&self) -> Option<Micros> {
+        self.ends.first().map(|&(end, _)| end)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/trial.rs
@@ -0,0 +1,289 @@
+//! A trial: the stand-ins, a matcher as a child process, callers on both fronts, and the rules judged from the books
+//! of the stand-ins and callers alone.
+
+use crate::callers::{Callers, Front, Plan, Tally};
+use crate::host::{look, shared, Host, Running, Shared};
+use crate::matcher::Matcher;
+use crate::site::{Setup, Site};
+use cleatpulley_policy::interface::Micros;
+use std::collections::HashSet;
+use std::fmt;
+use std::io;
+use std::path::Path;
+use std::time::Duration;
+
+/// What the callers of one front send.
+#[derive(Debug, Clone)]
+pub struct Load {
+    /// The front.
+    pub front: Front,
+    /// Requests a second, each until this time after the beginning.
+    pub rates: Vec<(Micros, f64)>,
+    /// Connections at most.
+    pub connections: usize,
+    /// Bytes of a body.
+    pub body: usize,
+}
+
+/// A trial.
+#[derive(Debug, Clone)]
+pub struct Trial {
+    /// The site.
+    pub site: Setup,
+    /// What is sent.
+    pub loads: Vec<Load>,
+    /// Added to the `ajp` section of the operator file.
+    pub ajp: String,
+    /// Added beside it.
+    pub outside: String,
+    /// The notice to leave comes this long after the beginning.
+    pub leave_at: Option<Micros>,
+}
+
+/// A trial under way.
+pub struct Going {
+    /// The site.
+    pub site: Site,
+    /// The matcher.
+    pub matcher: Matcher,
+    /// The callers, one for each load.
+    pub callers: Vec<Shared<Callers>>,
+    /// When it began.
+    pub begin: Micros,
+    left_at: Option<Micros>,
+    /// The matcher's memory at its peak and its CPU, as last seen: nothing tells once it has left.
+    used: (u64, u64),
+    _host: Running,
+}
+
+/// What came of it.
+#[derive(Debug, Clone, Default)]
+pub struct Report {
+    /// By front and class.
+    pub tallies: Vec<(Front, String, Tally)>,
+    /// Rules that were broken, each with how often; none where all held.
+    pub broken: Vec<String>,
+    /// Most requests that ran at once.
+    pub most_running: usize,
+    /// Calls to the store, and most at once.
+    pub calls: (u64, usize),
+    /// The matcher's memory at its peak, in KB.
+    pub memory_kb: u64,
+    /// The matcher's CPU, in microseconds.
+    pub cpu: u64,
+    /// Latency of what was served, at the middle and at 99 of 100, in milliseconds, by front.
+    pub latency_ms: Vec<(Front, f64, f64)>,
+}
+
+impl Trial {
+    /// Starts everything; callers begin at once.
+    ///
+    /// # Errors
+    /// Where a port can't be had or the matcher does not start.
+    pub fn start(&self, program: &Path) -> io::Result<Going> {
+        let site = Site::start(self.site.clone())?;
+        let ajp = self.loads.iter().any(|load| load.front == Front::Ajp);
+        let operator = (ajp || !self.outside.is_empty()).then(|| site.operator(&self.ajp, &self.outside));
+        let matcher = Matcher::start(program, &site.config, operator.as_deref())?;
+        let begin = site.clock.now() + 50_000;
+        let mut host = Host::default();
+        let mut callers = Vec::new();
+        for (i, load) in self.loads.iter().enumerate() {
+            let to = match load.front {
+                Front::Frames => matcher.frames,
+                Front::Ajp => matcher.ajp.ok_or_else(|| io::Error::other("the matcher speaks no AJP"))?,
+            };
+            let plan = Plan {
+                front: load.front,
+                to,
+                connections: load.connections,
+                rates: load.rates.clone(),
+                kinds: self.site.kinds(),
+                body: load.body,
+                secret: None,
+                callers: (2 * i as u64 + 1)..(2 * i as u64 + 3),
+                // What the rules allow on sockets beyond the slack.
+                slack: 110_000,
+                random_gaps: true,
+                seed: self.site.seed.wrapping_mul(1_000).wrapping_add(i as u64),
+            };
+            let one = shared(Callers::new(plan, begin));
+            host.add(one.clone());
+            callers.push(one);
+        }
+        let host = host.start(site.clock)?;
+        Ok(Going { site, matcher, callers, begin, left_at: None, used: (0, 0), _host: host })
+    }
+
+    /// Plays it to its end.
+    ///
+    /// # Errors
+    /// As [`start`](Self::start).
+    pub fn play(&self, program: &Path, mut progress: impl FnMut(&Going, f64)) -> io::Result<Report> {
+        let mut going = self.start(program)?;
+        let sends =
+            self.loads.iter().filter_map(|load| load.rates.last()).map(|last| last.0).max().unwrap_or(0);
+        let longest = self.site.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+        loop {
+            let now = going.site.clock.now().saturating_sub(going.begin);
+            if going.left_at.is_none() && self.leave_at.is_some_and(|at| now >= at) {
+                going.leave();
+            }
+            let done = going.callers.iter().all(|callers| look(callers, |callers| callers.is_done()));
+            let left = going.left_at.is_none() || !going.matcher.is_alive();
+            if now >= sends && ((done && left) || now >= sends + longest + 1_000_000) {
+                break;
+            }
+            going.measure();
+            progress(&going, now as f64 / 1e6);
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        Ok(going.judge())
+    }
+}
+
+impl Going {
+    /// Gives the matcher the notice to leave.
+    pub fn leave(&mut self) {
+        self.left_at = Some(self.site.clock.now());
+        self.matcher.terminate();
+    }
+
+    fn measure(&mut self) {
+        if let (Some((_, peak)), Some(cpu)) = (self.matcher.memory_kb(), self.matcher.cpu()) {
+            self.used = (self.used.0.max(peak), self.used.1.max(cpu));
+        }
+    }
+
+    /// Judges the rules.
+    pub fn judge(&mut self) -> Report {
+        let mut report = Report::default();
+        self.measure();
+        (report.memory_kb, report.cpu) = self.used;
+        let mut broken = |number: u64, what: &str| {
+            if number > 0 {
+                report.broken.push(format!("{number} {what}"));
+            }
+        };
+        match self.left_at {
+            None => broken(u64::from(!self.matcher.is_alive()), "matcher ended by itself"),
+            Some(_) => {
+                let status =
+                    self.matcher.wait(Duration::from_micros(self.site.setup.stop) + Duration::from_secs(1));
+                broken(u64::from(!status.is_ok_and(|status| status.success())), "matcher did not leave well");
+            }
+        }
+        let (starts, twice) = look(&self.site.runtime, |runtime| {
+            report.most_running = runtime.seen.most_running;
+            broken(runtime.seen.unreadable, "commands that the runtime can't read");
+            let starts: Vec<_> = runtime.seen.starts.iter().map(|(id, seen)| (*id, seen.2)).collect();
+            (starts, runtime.run_twice().len() as u64)
+        });
+        broken(twice, "requests with an effect that ran twice");
+        let started: HashSet<u64> = starts.iter().map(|start| start.0).collect();
+        let until = self.left_at.map(|at| at + self.site.setup.grace + 50_000);
+        for callers in &self.callers {
+            look(callers, |callers| {
+                callers.finish();
+                let total = callers.total();
+                let front = callers.plan().front;
+                broken(total.lost, &format!("requests by {front} without an answer"));
+                broken(total.overdue, &format!("answers by {front} after the due time"));
+                broken(total.wrong, &format!("results by {front} that no run made for the request"));
+                broken(callers.stray, &format!("answers by {front} that nobody asked for"));
+                let ran = callers.refused.iter().filter(|id| started.contains(id)).count();
+                broken(ran as u64, &format!("requests by {front} turned away that had run"));
+                let late = |(id, at): &&(u64, Micros)| {
+                    until.is_some_and(|until| *at > until) && started.contains(id)
+                };
+                let late = callers.sent.iter().filter(late).count();
+                broken(late as u64, &format!("runs of requests by {front} from after the grace"));
+                for (kind, tally) in callers.plan().kinds.iter().zip(&callers.tallies) {
+                    report.tallies.push((front, kind.name.clone(), tally.clone()));
+                }
+                callers.latencies.sort_unstable();
+                let at = |share: f64| {
+                    let place = (callers.latencies.len() as f64 * share) as usize;
+                    callers.latencies.get(place).map_or(0.0, |us| *us as f64 / 1e3)
+                };
+                report.latency_ms.push((front, at(0.5), at(0.99)));
+            });
+        }
+        let (calls, most) = look(&self.site.store, |store| (store.seen.calls, store.seen.most));
+        broken(u64::from(most > 5 * self.site.setup.store.slots), "store loaded past five times its slots");
+        report.calls = (calls, most);
+        report
+    }
+}
+
+impl Report {
+    /// The figures of one front, all classes together.
+    #[must_use]
+    pub fn total(&self, front: Front) -> Tally {
+        let mut total = Tally::default();
+        self.tallies.iter().filter(|(other, ..)| *other == front).for_each(|(.., tally)| total.add(tally));
+        total
+    }
+
+    /// Share served in time, of what was asked, by class: frames and AJP.
+    #[must_use]
+    pub fn shares(&self) -> Vec<(String, f64, f64)> {
+        let share = |tally: &Tally| tally.in_time as f64 / tally.asked.max(1) as f64;
+        let of = |front: Front| self.tallies.iter().filter(move |(other, ..)| *other == front);
+        of(Front::Frames)
+            .zip(of(Front::Ajp))
+            .map(|(frames, ajp)| (frames.1.clone(), share(&frames.2), share(&ajp.2)))
+            .collect()
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{:<8} {:<12} {:>7} {:>8} {:>6} {:>16} {:>8} {:>7} {:>6}",
+            "front", "class", "asked", "in time", "late", "refused+time", "refused", "failed", "lost"
+        )?;
+        let mut line = |front: &str, class: &str, tally: &Tally| {
+            writeln!(
+                f,
+                "{front:<8} {class:<12} {:>7} {:>8} {:>6} {:>16} {:>8} {:>7} {:>6}",
+                tally.asked,
+                tally.in_time,
+                tally.late,
+                tally.refused_with_time,
+                tally.refused_bare,
+                tally.failed,
+                tally.lost
+            )
+        };
+        for (front, class, tally) in &self.tallies {
+            line(&front.to_string(), class, tally)?;
+        }
+        let fronts: std::collections::BTreeSet<Front> =
+            self.tallies.iter().map(|(front, ..)| *front).collect();
+        for front in fronts {
+            line(&front.to_string(), "all", &self.total(front))?;
+        }
+        for (front, middle, high) in &self.latency_ms {
+            writeln!(
+                f,
+                "latency of what was served by {front}: {middle:.0} ms at the median, {high:.0} ms at p99"
+            )?;
+        }
+        writeln!(
+            f,
+            "{} calls to the store, {} at once at most; {} runs at once at most; matcher: {:.1} MB at its peak, {:.0} ms of CPU",
+            self.calls.0,
+            self.calls.1,
+            self.most_running,
+            self.memory_kb as f64 / 1e3,
+            self.cpu as f64 / 1e3
+        )?;
+        if self.broken.is_empty() {
+            writeln!(f, "rules: all held")
+        } else {
+            writeln!(f, "rules broken: {}", self.broken.join("; "))
+        }
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,8 @@
 
 #![forbid(unsafe_code)]
 
+mod tools;
+
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use cleatpulley::config::{Config, Sources};
 use cleatpulley::operator::Operator;
@@ -37,6 +39,16 @@
     Serve(Sourced),
     /// Read and check the configuration and the operator file, and say what they come to
     CheckConfig(Sourced),
+    /// Play the main job against stand-ins on loopback and show what was served; needs nothing else
+    Demo,
+    /// Stand in for runtime, store and directory, and write the configuration of a matcher that goes with them
+    Standin(tools::standin::StandinArgs),
+    /// Ask an AJP server by hand
+    #[command(subcommand)]
+    Ajp(tools::ajp::Ask),
+    /// Measure a part of the program beside what it is compared with; the last line says ok or what falls short
+    #[command(subcommand)]
+    Check(tools::bench::Check),
     /// Print the version
     Version,
 }
@@ -96,6 +108,10 @@
 
 fn run(command: Command) -> Result<ExitCode, String> {
     match command {
+        Command::Ajp(ask) => return tools::ajp::run(ask),
+        Command::Check(check) => return tools::bench::run(&check),
+        Command::Demo => tools::demo::run()?,
+        Command::Standin(args) => tools::standin::run(&args)?,
         Command::Serve(sourced) => {
             let (config, operator, sources) = sourced.load()?;
             let reload = move || Config::load(&sources).map(|config| config.parties());
--- /dev/null
+++ b/src/tools/bench.rs
@@ -0,0 +1,288 @@
+//! `cleatpulley check`: measurements beside what they are compared with, in one run on one machine.
+
+use clap::Subcommand;
+use cleatpulley::protocol::ajp::codec::{
+    push_chunks, push_end, push_forward, push_send_headers, Forward, Outgoing, HEAD, MOST_HEADERS, NO_HEADER,
+    PACKET_SIZE,
+};
+use cleatpulley_standin::callers::Front;
+use cleatpulley_standin::matcher::Matcher;
+use cleatpulley_standin::site::{Class, Setup, Site};
+use cleatpulley_standin::trial::{Load, Report, Trial};
+use std::hint::black_box;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+const SECOND: u64 = 1_000_000;
+
+/// What is measured.
+#[derive(Subcommand)]
+pub enum Check {
+    /// The AJP front: codec, CPU a request beside frames, memory a connection, a mixed load
+    Ajp,
+}
+
+/// Measures, prints, and says whether the goals were met.
+///
+/// # Errors
+/// Where something can't be started.
+pub fn run(check: &Check) -> Result<ExitCode, String> {
+    let program = std::env::current_exe().map_err(|e| e.to_string())?;
+    let (name, short) = match check {
+        Check::Ajp => ("ajp", ajp(&program)?),
+    };
+    for what in &short {
+        println!("falls short: {what}");
+    }
+    if short.is_empty() {
+        println!("{name}: ok");
+        return Ok(ExitCode::SUCCESS);
+    }
+    println!("{name}: {} of its goals not met", short.len());
+    Ok(ExitCode::FAILURE)
+}
+
+fn ajp(program: &Path) -> Result<Vec<String>, String> {
+    let mut short = Vec::new();
+    codec(&mut short);
+    cpu(program, &mut short).map_err(|e| format!("CPU a request: {e}"))?;
+    memory(program, &mut short).map_err(|e| format!("memory a connection: {e}"))?;
+    mixed(program, &mut short).map_err(|e| format!("mixed load: {e}"))?;
+    Ok(short)
+}
+
+/// The best of several rounds, in nanoseconds a call: what disturbs the machine only ever adds.
+fn best(rounds: usize, times: u32, mut call: impl FnMut()) -> f64 {
+    let mut best = f64::MAX;
+    for _ in 0..rounds {
+        let begun = Instant::now();
+        for _ in 0..times {
+            call();
+        }
+        best = best.min(begun.elapsed().as_nanos() as f64 / f64::from(times));
+    }
+    best
+}
+
+const HEADERS: [(&str, &str); 12] = [
+    ("Host", "matcher.portmore.example.org"),
+    ("User-Agent", "race-client/7.3 (console; build 20261)"),
+    ("Accept", "application/octet-stream"),
+    ("Accept-Encoding", "identity"),
+    ("Connection", "keep-alive"),
+    ("Content-Type", "application/octet-stream"),
+    ("Content-Length", "200"),
+    ("X-Request-Id", "9b1f03aa5c7e2d41"),
+    ("X-Work-Ms", "12.50"),
+    ("X-Memory-Kb", "24.5"),
+    ("X-Rank", "0.6250"),
+    ("X-Caller", "4"),
+];
+
+fn codec(short: &mut Vec<String>) {
+    let outgoing = Outgoing {
+        method: "POST",
+        uri: "/claim-seat",
+        remote_addr: "127.0.0.1",
+        server_name: "matcher.portmore.example.org",
+        server_port: 80,
+        headers: &HEADERS,
+        ..Outgoing::default()
+    };
+    let mut packet = Vec::new();
+    // The request is far smaller than a packet.
+    let _ = push_forward(&mut packet, &outgoing, PACKET_SIZE);
+    let write_http = |out: &mut Vec<u8>| {
+        let _ = out.write_all(b"POST /claim-seat HTTP/1.1\r\n");
+        for (name, value) in HEADERS {
+            let _ = write!(out, "{name}: {value}\r\n");
+        }
+        out.extend_from_slice(b"\r\n");
+    };
+    let mut text = Vec::new();
+    write_http(&mut text);
+    let (rounds, times) = (15, 40_000);
+    let decode = best(rounds, times, || {
+        let mut headers = [NO_HEADER; MOST_HEADERS];
+        let request = Forward::decode(black_box(&packet[HEAD..]), &mut headers);
+        black_box(request.map(|request| request.headers.len()).ok());
+    });
+    let parse = best(rounds, times, || {
+        let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
+        let mut request = httparse::Request::new(&mut headers);
+        let _ = black_box(request.parse(black_box(&text)));
+        black_box(request.headers.len());
+    });
+    let mut out = Vec::with_capacity(4_096);
+    let encode = best(rounds, times, || {
+        out.clear();
+        let _ = push_forward(black_box(&mut out), &outgoing, PACKET_SIZE);
+    });
+    let write = best(rounds, times, || {
+        out.clear();
+        write_http(black_box(&mut out));
+    });
+    let answer = best(rounds, times, || {
+        out.clear();
+        let headers = [("Content-Type", "application/octet-stream"), ("Content-Length", "25")];
+        let _ = push_send_headers(black_box(&mut out), 200, "OK", &headers, PACKET_SIZE);
+        push_chunks(&mut out, b"grid of 9b1f03aa5c7e2d41.", PACKET_SIZE);
+        push_end(&mut out, true);
+    });
+    println!("codec, a request of 12 headers, best of {rounds} rounds of {times}:");
+    println!("  decode   AJP {decode:6.0} ns   httparse {parse:6.0} ns   ratio {:.2}", decode / parse);
+    println!("  encode   AJP {encode:6.0} ns   HTTP/1.1 {write:6.0} ns   ratio {:.2}", encode / write);
+    println!("  answer   AJP {answer:6.0} ns");
+    if decode > parse {
+        short.push(format!("decoding takes {:.2} times httparse, the goal is 1", decode / parse));
+    }
+    if encode > write {
+        short.push(format!("encoding takes {:.2} times HTTP/1.1, the goal is 1", encode / write));
+    }
+}
+
+/// A site whose runtime answers at once, with classes so cheap that nothing is refused.
+fn instant() -> Setup {
+    let class = |name| Class {
+        name,
+        once: false,
+        share: 1.0,
+        work: (20, 20),
+        calls: (0, 0),
+        aim: 2 * SECOND,
+        deadline: 6 * SECOND,
+        worth: 1.0,
+        skip_worth: 0.0,
+    };
+    Setup { classes: vec![class("find-race")], instant: true, cores: 256, ..Setup::default() }
+}
+
+fn cpu(program: &Path, short: &mut Vec<String>) -> std::io::Result<()> {
+    let (rate, seconds) = (10_000.0, 3);
+    println!("CPU a request, runtime that answers at once, {rate:.0} requests a second for {seconds} s:");
+    let mut micros = Vec::new();
+    for (front, connections) in [(Front::Frames, 32), (Front::Ajp, 32)] {
+        let load = Load { front, rates: vec![(seconds * SECOND, rate)], connections, body: 200 };
+        let trial = Trial {
+            site: instant(),
+            loads: vec![load],
+            ajp: String::new(),
+            outside: String::new(),
+            leave_at: None,
+        };
+        let report = trial.play(program, |_, _| ())?;
+        let total = report.total(front);
+        let each = report.cpu as f64 / total.asked.max(1) as f64;
+        println!(
+            "  {front:<7} {each:6.1} us   {:7.0} a second on one core   {} asked, {} served, {} refused, {connections} connections, {:.1} MB",
+            1e6 / each,
+            total.asked,
+            total.in_time + total.late,
+            total.refused_with_time + total.refused_bare,
+            report.memory_kb as f64 / 1e3,
+        );
+        if !report.broken.is_empty() {
+            short.push(format!("rules under the instant runtime by {front}: {}", report.broken.join("; ")));
+        }
+        micros.push(each);
+    }
+    let ratio = micros[1] / micros[0];
+    println!("  AJP takes {ratio:.2} times frames");
+    if ratio > 1.3 {
+        short.push(format!("AJP takes {ratio:.2} times the CPU of frames a request, the goal is 1.3"));
+    }
+    Ok(())
+}
+
+/// Connections that send these bytes and then nothing.
+fn hold(to: SocketAddr, number: usize, bytes: &[u8]) -> std::io::Result<Vec<TcpStream>> {
+    let mut held = Vec::new();
+    for _ in 0..number {
+        let mut stream = TcpStream::connect(to)?;
+        stream.write_all(bytes)?;
+        held.push(stream);
+    }
+    Ok(held)
+}
+
+fn memory(program: &Path, short: &mut Vec<String>) -> std::io::Result<()> {
+    let site = Site::start(Setup::default())?;
+    let matcher = Matcher::start(program, &site.config, Some(&site.operator("", "")))?;
+    let to = matcher.ajp.ok_or_else(|| std::io::Error::other("no AJP"))?;
+    let now = || matcher.memory_kb().map_or(0, |memory| memory.0);
+    // Warm: what the first connections bring along belongs to none of them.
+    drop(hold(to, 50, &[0x12, 0x34, 0, 1, 10])?);
+    std::thread::sleep(Duration::from_millis(300));
+    let begin = now();
+    let mut idle = hold(to, 300, &[0x12, 0x34, 0, 1, 10])?;
+    for stream in &mut idle {
+        stream.read_exact(&mut [0; 5])?;
+    }
+    let with_idle = now();
+    let headers = [("Content-Length", "2000"), ("X-Request-Id", "9b1f03aa5c7e2d41")];
+    let outgoing = Outgoing { method: "POST", uri: "/find-race", headers: &headers, ..Outgoing::default() };
+    let mut half = Vec::new();
+    let _ = push_forward(&mut half, &outgoing, PACKET_SIZE);
+    let body = [&[0x12, 0x34, 0x03, 0xE8, 0x03, 0xE6][..], &[b'.'; 700]].concat();
+    half.extend_from_slice(&body);
+    let stalled = hold(to, 300, &half)?;
+    std::thread::sleep(Duration::from_millis(500));
+    let with_stalled = now();
+    let each = |from: u64, to: u64, number: usize| to.saturating_sub(from) as f64 / number as f64;
+    let (idle_kb, stalled_kb) =
+        (each(begin, with_idle, idle.len()), each(with_idle, with_stalled, stalled.len()));
+    println!("memory a connection, of 300: idle {idle_kb:.1} KB, stalled halfway through its body {stalled_kb:.1} KB");
+    if stalled_kb > 32.0 {
+        short.push(format!("a stalled connection holds {stalled_kb:.0} KB, the goal is 32"));
+    }
+    Ok(())
+}
+
+/// The mixed load: both fronts at 110% of the capacity, with a launch surge.
+pub fn mixed_trial(seed: u64) -> Trial {
+    let site = Setup { seed, ..Setup::default() };
+    let half = site.capacity() / 2.0;
+    let rates = vec![(2 * SECOND, 0.9 * half), (4 * SECOND, 1.6 * half), (9 * SECOND, 1.1 * half)];
+    let load = |front, connections| Load { front, rates: rates.clone(), connections, body: 200 };
+    let loads = vec![load(Front::Frames, 8), load(Front::Ajp, 300)];
+    Trial { site, loads, ajp: String::new(), outside: String::new(), leave_at: None }
+}
+
+fn mixed(program: &Path, short: &mut Vec<String>) -> std::io::Result<()> {
+    println!("mixed load: half by frames and half by AJP, 90% of capacity, 160% for 2 s, then 110%:");
+    let program: PathBuf = program.to_owned();
+    let report = mixed_trial(7).play(&program, |_, _| ())?;
+    print!("{report}");
+    judge_mixed(&report, short);
+    Ok(())
+}
+
+/// What a mixed load falls short of.
+fn judge_mixed(report: &Report, short: &mut Vec<String>) {
+    short.extend(report.broken.iter().map(|broken| format!("a rule under the mixed load: {broken}")));
+    for (class, frames, ajp) in report.shares() {
+        println!("  {class:<12} in time: frames {:5.1}%, AJP {:5.1}%", frames * 100.0, ajp * 100.0);
+        if (frames - ajp).abs() > 0.08 {
+            short.push(format!(
+                "{class}: {:.0}% by frames and {:.0}% by AJP, more than 8 points apart",
+                frames * 100.0,
+                ajp * 100.0
+            ));
+        }
+    }
+    for front in [Front::Frames, Front::Ajp] {
+        let total = report.total(front);
+        let refused = total.refused_with_time + total.refused_bare;
+        let early = total.refused_early as f64 / refused.max(1) as f64;
+        println!(
+            "  refused by {front}: {refused}, {:.0}% of them within a tenth of the wanted time",
+            early * 100.0
+        );
+        if total.refused_bare > 0 {
+            short.push(format!("{} refusals by {front} without a time to come back", total.refused_bare));
+        }
+    }
+}
--- /dev/null
+++ b/src/tools/mod.rs
@@ -0,0 +1,6 @@
+//! The sub-commands beside the matcher itself: an AJP client by hand, the stand-ins, and the demo.
+
+pub mod ajp;
+pub mod bench;
+pub mod demo;
+pub mod standin;
--- /dev/null
+++ b/src/tools/standin.rs
@@ -0,0 +1,72 @@
+//! `cleatpulley standin`: runtime, store and directory to talk to, and the configuration that goes with them.
+
+use clap::Args;
+use cleatpulley_standin::host::look;
+use cleatpulley_standin::site::{Setup, Site};
+use cleatpulley_standin::store;
+use serde_json::json;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// How the stand-ins are set up.
+#[derive(Args)]
+pub struct StandinArgs {
+    /// Where the matcher's configuration is written
+    #[arg(long, value_name = "FILE", default_value = "standin.json")]
+    write_config: PathBuf,
+    /// Where that matcher is to listen
+    #[arg(long, value_name = "ADDR", default_value = "127.0.0.1:5050")]
+    listen: String,
+    /// Cores of the runtime
+    #[arg(long, default_value_t = 6)]
+    cores: u32,
+    /// Time of a store call in milliseconds
+    #[arg(long, default_value_t = 10)]
+    store_ms: u64,
+    /// For random numbers
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// End after so many seconds; without it, with a signal
+    #[arg(long)]
+    seconds: Option<u64>,
+}
+
+/// Runs until it is told to end.
+///
+/// # Errors
+/// Where ports or the file can't be had.
+pub fn run(args: &StandinArgs) -> Result<(), String> {
+    let store = store::Setup { time: args.store_ms * 1_000, ..store::Setup::default() };
+    let setup = Setup { cores: args.cores.max(1), store, seed: args.seed, ..Setup::default() };
+    let site = Site::start(setup).map_err(|e| e.to_string())?;
+    let mut config = site.config.clone();
+    config["listen"] = json!(args.listen);
+    let text = serde_json::to_string_pretty(&config).map_err(|e| e.to_string())?;
+    std::fs::write(&args.write_config, text).map_err(|e| format!("{}: {e}", args.write_config.display()))?;
+    println!(
+        "runtime {}, store {}, directory {}; about {:.0} requests a second; configuration in {}",
+        config["runtime"].as_str().unwrap_or_default(),
+        config["store"].as_str().unwrap_or_default(),
+        config["lookup"].as_str().unwrap_or_default(),
+        site.setup.capacity(),
+        args.write_config.display(),
+    );
+    println!(
+        "next: cleatpulley serve --config {} --operator deploy/operator.jsonnet",
+        args.write_config.display()
+    );
+    let mut shown = 0;
+    for second in 0.. {
+        if args.seconds.is_some_and(|most| second >= most) {
+            break;
+        }
+        std::thread::sleep(Duration::from_secs(1));
+        let fine = look(&site.runtime, |runtime| runtime.seen.fine);
+        if fine != shown {
+            let calls = look(&site.store, |store| store.seen.calls);
+            println!("{fine} runs ended well, {calls} calls to the store");
+            shown = fine;
+        }
+    }
+    Ok(())
+}
