Add an embedded store: a log of segments, an index in memory, compaction and recovery

Need: kept results and whatever else must outlive a crash need a home that can be trusted.

Change: crates/keep, over a small file trait with one implementation on std and one in memory that fails and crashes. Records with a checksum of the header apart, bound to salt and offset; batches; group commit, also with the sync on another thread; hints; compaction, expiry and a bound on size in steps of any length; a segment names those that it replaces, so that there is no manifest. What to believe, compact and drop stands in files without I/O. `cleatpulley keep stat|check|dump|compact|repair`, design and operators' pages, crates/keep-bench (`make check-keep`).

Found by the tests and mended before this landing: a compaction dropped a value whose newer one was not yet synced; a new segment that was not taken back durably made a torn end believed; a victim whose removal failed came back; and maintenance that never ended where heads or needed deletes counted as dead.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The tasks of this repository; each is what its name says.
 CONFIG ?= $(GW_CONFIG)
 
-.PHONY: build test lint run demo check-ajp bench-ajp
+.PHONY: build test lint run demo check-ajp bench-ajp check-keep bench-keep
 build:
 	cargo build --locked --release
 
@@ -24,3 +24,8 @@
 # The AJP front measured beside httparse and beside frames; 1 where it falls short.
 check-ajp bench-ajp: build
 	target/release/cleatpulley check ajp
+
+# The embedded store beside redb and fjall on this disk; 1 where it falls short.
+check-keep bench-keep:
+	cargo build --locked --release -p cleatpulley-keep-bench
+	target/release/cleatpulley-keep-bench
--- a/src/main.rs
+++ b/src/main.rs
@@ -46,6 +46,9 @@
     /// Ask an AJP server by hand
     #[command(subcommand)]
     Ajp(tools::ajp::Ask),
+    /// Look at or mend an embedded store
+    #[command(subcommand)]
+    Keep(tools::keep::Keep),
     /// Measure a part of the program beside what it is compared with; the last line says ok or what falls short
     #[command(subcommand)]
     Check(tools::bench::Check),
@@ -110,6 +113,7 @@
     match command {
         Command::Ajp(ask) => return tools::ajp::run(ask),
         Command::Check(check) => return tools::bench::run(&check),
+        Command::Keep(keep) => return tools::keep::run(&keep),
         Command::Demo => tools::demo::run()?,
         Command::Standin(args) => tools::standin::run(&args)?,
         Command::Serve(sourced) => {
--- a/src/tools/mod.rs
+++ b/src/tools/mod.rs
@@ -3,4 +3,5 @@
 pub mod ajp;
 pub mod bench;
 pub mod demo;
+pub mod keep;
 pub mod standin;
--- /dev/null
+++ b/tests/keep.rs
@@ -0,0 +1,112 @@
+//! The embedded store on a real file system: a child process killed at random points, and the command line.
+
+use cleatpulley_keep::files::Folder;
+use cleatpulley_keep::{Batch, Options, Store};
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader};
+use std::path::Path;
+use std::process::{Command, Stdio};
+use std::time::Duration;
+
+fn program() -> Command {
+    Command::new(env!("CARGO_BIN_EXE_cleatpulley"))
+}
+
+/// What batch `n` of `keep exercise` does.
+fn apply(content: &mut BTreeMap<Vec<u8>, Vec<u8>>, n: u64) {
+    let key = |n: u64| (n % 64).to_be_bytes().to_vec();
+    let value = [&n.to_be_bytes()[..], &vec![n as u8; (n % 900) as usize]].concat();
+    content.insert(key(n), value.clone());
+    content.insert(key(n * 31), value);
+    content.remove(&key(n * 17 + 5));
+}
+
+fn read(dir: &Path) -> BTreeMap<Vec<u8>, Vec<u8>> {
+    let folder = Folder::new(dir, false).expect("it is there");
+    let (store, found) = Store::open_read_only(folder).expect("it opens");
+    assert!(found.damaged.is_empty() && found.quarantined.is_empty(), "{found}");
+    let mut content = BTreeMap::new();
+    store
+        .by_age(0, |_, key, value| content.insert(key.to_vec(), value.to_vec()).is_none())
+        .expect("it is read");
+    content
+}
+
+/// Kills the writer dozens of times: what was acknowledged is there, batches are whole, and nothing else is.
+#[test]
+fn a_writer_killed_at_random_points_loses_nothing_acknowledged() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let (mut content, mut next) = (BTreeMap::new(), 1);
+    for kill in 0..40_u64 {
+        let mut child = program()
+            .args(["keep", "exercise", "--from", &next.to_string()])
+            .arg(dir.path())
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("it starts");
+        let mut lines = BufReader::new(child.stdout.take().expect("piped")).lines();
+        let mut acked = next - 1;
+        // Where it is killed is its own affair: somewhere after so many acknowledgements.
+        for _ in 0..(kill * 7) % 30 {
+            let line = lines.next().expect("a line").expect("text");
+            acked = line.parse().expect("a number");
+        }
+        std::thread::sleep(Duration::from_micros((kill * 137) % 2_000));
+        child.kill().expect("it runs");
+        child.wait().expect("it ends");
+        // What it still said before it died counts as well.
+        if let Some(Ok(line)) = lines.map_while(Result::ok).last().map(|line| line.parse()) {
+            acked = acked.max(line);
+        }
+        let found = read(dir.path());
+        let mut at = next - 1;
+        while content != found || at < acked {
+            at += 1;
+            assert!(at < acked + 2_000, "kill {kill}: no state from {acked} on is what is there");
+            apply(&mut content, at);
+        }
+        next = at + 1;
+    }
+    assert!(next > 400, "it got as far as {next}");
+}
+
+#[test]
+fn the_commands_tell_figures_damage_and_contents_and_mend() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let folder = || Folder::new(dir.path(), true).expect("a folder");
+    for round in 0..2_u8 {
+        let (mut store, _) = Store::open(folder(), Options::default()).expect("it opens");
+        for n in 0..100_u8 {
+            store.write(Batch::default().put(&[b'k', round, n], &[n; 50], None)).expect("room");
+        }
+        store.close().expect("nothing fails");
+    }
+    let run = |command: &str| {
+        let output = program().args(["keep", command]).arg(dir.path()).output().expect("it runs");
+        (output.status.code(), String::from_utf8_lossy(&[output.stdout, output.stderr].concat()).into_owned())
+    };
+    let (code, said) = run("stat");
+    assert!(code == Some(0) && said.contains("200 keys in 2 segments"), "{said}");
+    assert_eq!(run("check").0, Some(0));
+    assert_eq!(run("dump").1.lines().count(), 200);
+    // Flip a byte in the middle of the first segment's values.
+    let file = dir.path().join("0000000000000001.seg");
+    let mut bytes = std::fs::read(&file).expect("it is there");
+    let middle = bytes.len() / 2;
+    bytes[middle] ^= 0x20;
+    std::fs::write(&file, bytes).expect("it is written");
+    let (code, said) = run("check");
+    assert!(code == Some(3) && said.contains("damaged: 0000000000000001.seg: "), "{said}");
+    let (code, said) = run("repair");
+    assert!(code == Some(0) && said.contains("1 damaged segments were rewritten"), "{said}");
+    assert!(dir.path().join("0000000000000001.damaged").exists(), "the damaged file is kept");
+    assert_eq!(run("dump").1.lines().count(), 199, "one record is lost and no other");
+    assert_eq!(run("compact").0, Some(0));
+    std::fs::write(dir.path().join("notes.txt"), "mine").expect("it is written");
+    let (code, said) = run("compact");
+    assert!(code == Some(1) && said.contains("notes.txt"), "{said}");
+    let (code, said) = run("check");
+    assert!(code == Some(1) && said.contains("notes.txt: not a file of this store"), "{said}");
+    let nowhere = program().args(["keep", "stat", "/nowhere"]).output().expect("it runs");
+    assert_eq!(nowhere.status.code(), Some(1));
+}
