Split the store by concern, and name the right file in faults of the operator file

An empty operator file, or an empty template that it imports, made the evaluator overflow: a panic in a debug build, line 0 in a release. It is told as an empty file. A fault in an imported template was told with the importing file's name; it names the template now. A file that comes to no object says so. `keep repair` no longer speaks of files kept where nothing was rewritten.

--- a/crates/keep/src/compact.rs
+++ b/crates/keep/src/compact.rs
@@ -12,7 +12,8 @@
 };
 use crate::hint::{trailer, Writer};
 use crate::index::Place;
-use crate::store::{print_of, Batch, Reader, Segment, Step, Store};
+use crate::reader::{Reader, Step};
+use crate::store::{print_of, Batch, Segment, Store};
 
 /// Bytes that are written between two syncs of a file under way: each sync is short then.
 const SYNC_EVERY: u64 = 262_144;
@@ -188,6 +189,12 @@
     }
 }
 
+/// The lowest sequence numbers of all segments but those that go.
+fn staying<F: Files>(store: &Store<F>, goes: impl Fn(u16) -> bool) -> Vec<u64> {
+    let segments = store.segments.iter().enumerate().filter(|(slot, _)| !goes(*slot as u16));
+    segments.filter_map(|(_, segment)| segment.as_ref().map(|segment| segment.min_seq)).collect()
+}
+
 /// Appends to an output; syncs it where enough has come together. True where it synced: that is work enough for a step.
 fn put<F: Files>(store: &mut Store<F>, output: &mut Output, bytes: &[u8]) -> Result<(), Error> {
     store.append_bytes(output.file, &output.name, output.size, bytes)?;
@@ -215,15 +222,7 @@
         sync(store, output)?;
         return Ok(false);
     }
-    let staying: Vec<u64> = store
-        .segments
-        .iter()
-        .enumerate()
-        .filter(|(other, _)| {
-            *other != usize::from(slot) && !victims.iter().any(|v| usize::from(v.slot) == *other)
-        })
-        .filter_map(|(_, segment)| segment.as_ref().map(|segment| segment.min_seq))
-        .collect();
+    let staying = staying(store, |other| other == slot || victims.iter().any(|victim| victim.slot == other));
     let salt = store.segment(slot).map_or(0, |segment| segment.head.salt);
     let mut bytes = Vec::new();
     let mut copies = Vec::new();
@@ -301,8 +300,7 @@
 fn peek<F: Files>(store: &mut Store<F>, victim: &mut Victim) -> Result<(), Error> {
     while victim.next.is_none() {
         let Some(segment) = store.segment(victim.slot) else { return Ok(()) };
-        let (file, name, salt, size) = (segment.file, &segment.name, segment.head.salt, segment.size);
-        match victim.reader.next(store, file, name, salt, size)? {
+        match victim.reader.next(store, segment)? {
             Step::Record(head) => victim.next = Some(head),
             Step::Damaged(bytes) => {
                 victim.reader.skip(bytes);
@@ -384,8 +382,7 @@
     let mut over = false;
     while reader.offset - begin < budget.max(1) as u64 {
         let Some(segment) = store.segment(slot) else { return Ok(true) };
-        let (file, name, salt, size) = (segment.file, &segment.name, segment.head.salt, segment.size);
-        match reader.next(store, file, name, salt, size)? {
+        match reader.next(store, segment)? {
             Step::Record(head) => {
                 let offset = reader.offset as u32;
                 bytes.extend(writer.push(&head, offset, reader.key(&head)).unwrap_or_default());
@@ -433,19 +430,12 @@
     budget: usize,
 ) -> Result<bool, Error> {
     let begin = reader.offset;
-    let staying: Vec<u64> = store
-        .segments
-        .iter()
-        .enumerate()
-        .filter(|(other, _)| *other != usize::from(slot))
-        .filter_map(|(_, segment)| segment.as_ref().map(|segment| segment.min_seq))
-        .collect();
+    let staying = staying(store, |other| other == slot);
     let mut hiding = Batch::default();
     let mut over = false;
     while reader.offset - begin < budget.max(1) as u64 {
         let Some(segment) = store.segment(slot) else { return Ok(true) };
-        let (file, name, salt, size) = (segment.file, &segment.name, segment.head.salt, segment.size);
-        match reader.next(store, file, name, salt, size)? {
+        match reader.next(store, segment)? {
             Step::Record(head) => {
                 let key = reader.key(&head);
                 let print = print_of(key);
--- a/crates/keep/src/lib.rs
+++ b/crates/keep/src/lib.rs
@@ -30,9 +30,12 @@
 pub mod hint;
 pub mod index;
 pub mod memory;
+mod opening;
+mod reader;
 pub mod recover;
 pub mod scan;
 mod store;
+mod writing;
 
 pub use error::Error;
 pub use recover::Found;
--- a/crates/protocol/src/ajp/codec.rs
+++ b/crates/protocol/src/ajp/codec.rs
@@ -142,6 +142,32 @@
         Ok(text)
     }
 
+    /// The headers that follow, into the caller's places; `known` names those that go as a code.
+    #[inline]
+    fn headers<'h>(
+        &mut self,
+        places: &'h mut [Header<'a>],
+        known: fn(u16) -> Option<&'static [u8]>,
+    ) -> Result<&'h [Header<'a>], Fault> {
+        let at = self.place();
+        let number = usize::from(self.int()?);
+        let Some(places) = places.get_mut(..number) else { return fault(at, "too many headers") };
+        for place in places.iter_mut() {
+            let at = self.place();
+            let length = self.int()?;
+            let name = if length & 0xFF00 == names::CODED {
+                known(length).ok_or(Fault { at, what: "an unknown header code" })?
+            } else {
+                self.text(usize::from(length))?
+            };
+            if name.is_empty() {
+                return fault(at, "a header without a name");
+            }
+            *place = (name, self.string()?.unwrap_or_default());
+        }
+        Ok(places)
+    }
+
     fn needed(&mut self, what: &'static str) -> Result<&'a [u8], Fault> {
         let at = self.place();
         self.string()?.ok_or(Fault { at, what })
@@ -243,27 +269,7 @@
         let server_name = reader.string()?;
         let server_port = reader.int()?;
         let is_ssl = reader.byte()? != 0;
-        let at = reader.place();
-        let number = usize::from(reader.int()?);
-        if number > headers.len() {
-            return fault(at, "too many headers");
-        }
-        for place in &mut headers[..number] {
-            let at = reader.place();
-            let length = reader.int()?;
-            let name = if length & 0xFF00 == names::CODED {
-                match names::request_header(length) {
-                    Some(name) => name,
-                    None => return fault(at, "an unknown header code"),
-                }
-            } else {
-                reader.text(usize::from(length))?
-            };
-            if name.is_empty() {
-                return fault(at, "a header without a name");
-            }
-            *place = (name, reader.string()?.unwrap_or_default());
-        }
+        let headers = reader.headers(headers, names::request_header)?;
         let begin = reader.at;
         let (mut query, mut secret, mut ssl_key_size) = (None, None, None);
         loop {
@@ -292,7 +298,7 @@
             server_name,
             server_port,
             is_ssl,
-            headers: &headers[..number],
+            headers,
             query,
             secret,
             ssl_key_size,
@@ -347,22 +353,8 @@
             kind::SEND_HEADERS => {
                 let status = reader.int()?;
                 let message = reader.string()?.unwrap_or_default();
-                let at = reader.place();
-                let number = usize::from(reader.int()?);
-                if number > headers.len() {
-                    return fault(at, "too many headers");
-                }
-                for place in &mut headers[..number] {
-                    let at = reader.place();
-                    let length = reader.int()?;
-                    let name = if length & 0xFF00 == names::CODED {
-                        names::response_header(length).ok_or(Fault { at, what: "an unknown header code" })?
-                    } else {
-                        reader.text(usize::from(length))?
-                    };
-                    *place = (name, reader.string()?.unwrap_or_default());
-                }
-                Reply::Headers { status, message, headers: &headers[..number] }
+                let headers = reader.headers(headers, names::response_header)?;
+                Reply::Headers { status, message, headers }
             }
             kind::SEND_BODY_CHUNK => {
                 let length = usize::from(reader.int()?);
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -8,6 +8,7 @@
 use cleatpulley_protocol::ajp::codec::{PACKET_SIZE, PACKET_SIZES};
 use cleatpulley_protocol::ajp::server::{Defaults, Figures, Settings, Source};
 use cleatpulley_protocol::ajp::table::{Entry, Table};
+use jrsonnet_evaluator::error::Error as EvaluationError;
 use jrsonnet_evaluator::{EvaluationState, FileImportResolver};
 use serde::Deserialize;
 use std::collections::BTreeMap;
@@ -169,6 +170,9 @@
     }
 
     fn parse(json: &str, config: &Config) -> Result<Self, Wrong> {
+        if !json.trim_start().starts_with('{') {
+            return wrong("", "it comes to something else than an object of sections");
+        }
         let mut reader = serde_json::Deserializer::from_str(json);
         let file: File = serde_path_to_error::deserialize(&mut reader).map_err(|e| {
             let key = e.path().to_string();
@@ -192,18 +196,32 @@
     state.set_import_resolver(Box::new(FileImportResolver { library_paths: vec![folder] }));
     let value = state.evaluate_file_raw(file).and_then(|value| state.manifest(value));
     value.map(|json| json.to_string()).map_err(|e| {
+        let fault = |file: PathBuf, line, what| Fault { file, line, key: String::new(), what };
+        // Guards against a panic of the evaluator, which can't show a place in nothing.
+        if let EvaluationError::ImportSyntaxError { path, source_code, .. } = e.error() {
+            if source_code.is_empty() {
+                return fault(path.to_path_buf(), Some(1), "the file is empty".to_owned());
+            }
+        }
         let text = state.stringify_err(&e);
         let mut lines = text.lines().map(str::trim).filter(|line| !line.is_empty());
         let what = lines.next().unwrap_or("can't be evaluated").to_owned();
-        // The places follow, the innermost first, as FILE:LINE:COLUMN or FILE:LINE:FROM-TO.
+        // The places follow, the innermost first, as FILE:LINE:COLUMN; the file may be one that was imported.
         let place = lines.next().and_then(|line| {
-            let (_, after) = line.split_once(".jsonnet:").or_else(|| line.split_once(".libsonnet:"))?;
-            after.split(|c: char| !c.is_ascii_digit()).next()?.parse().ok()
+            let ends =
+                [".jsonnet:", ".libsonnet:"].iter().filter_map(|end| Some(line.find(end)? + end.len()));
+            let end = ends.min()?;
+            let number = line[end..].split(|c: char| !c.is_ascii_digit()).next()?.parse::<usize>().ok()?;
+            Some((PathBuf::from(&line[..end - 1]), number.max(1)))
         });
-        let rest: Vec<_> = lines.take(3).collect();
-        let what =
-            if rest.is_empty() || place.is_some() { what } else { format!("{what} ({})", rest.join(", ")) };
-        Fault { file: file.to_owned(), line: place, key: String::new(), what }
+        match place {
+            Some((found, line)) => fault(found, Some(line), what),
+            None => {
+                let rest: Vec<_> = lines.take(3).collect();
+                let what = if rest.is_empty() { what } else { format!("{what} ({})", rest.join(", ")) };
+                fault(file.to_owned(), None, what)
+            }
+        }
     })
 }
 
--- a/src/tools/keep.rs
+++ b/src/tools/keep.rs
@@ -161,7 +161,10 @@
     names.dedup();
     let rewritten = store.rewrite(now(), &names)?;
     maintain(&mut store)?;
-    println!("{rewritten} damaged segments were rewritten; their files are kept as *.damaged");
+    match rewritten {
+        0 => println!("no segment had to be rewritten"),
+        _ => println!("{rewritten} damaged segments were rewritten; their files are kept as *.damaged"),
+    }
     store.close()?;
     Ok(ExitCode::SUCCESS)
 }
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -50,6 +50,8 @@
     };
     for (name, text, expected) in [
         ("syntax", "{\n  ajp: [1 2],\n}".to_owned(), ":2: "),
+        ("array", "[1, 2]".to_owned(), ": it comes to something else than an object"),
+        ("empty", String::new(), ":1: the file is empty"),
         ("undefined", "{\n\n  ajp: nothing,\n}".to_owned(), ":3: variable is not defined: nothing"),
         ("unknown", with("packets: 9"), ":6: ajp.packets: unknown field `packets`"),
         ("section", "{\n  ajb: {},\n}".to_owned(), ":2: ajb: unknown field `ajb`"),
@@ -99,3 +101,19 @@
     assert!(fault.contains("ajp.figures.id: class \"claim-seat\" has an effect"), "{fault}");
     load("waived", &text("defaults: { needs_id: false }")).expect("the operator has said so");
 }
+
+/// A fault in a template is told with the template's name and line, not with those of the file that imports it.
+#[test]
+fn faults_of_an_imported_template_name_the_template() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let file = dir.path().join("operator.jsonnet");
+    std::fs::write(&file, "\n\n(import 'part.libsonnet')").expect("a file");
+    for (text, expected) in
+        [("{\n  ajp: missing,\n}", ":2: variable is not defined: missing"), ("", ":1: the file is empty")]
+    {
+        std::fs::write(dir.path().join("part.libsonnet"), text).expect("a file");
+        let fault = Operator::load(&file, &config()).expect_err("faulty").to_string();
+        let (name, rest) = fault.split_once("part.libsonnet").unwrap_or(("", &fault));
+        assert!(!name.is_empty() && rest.starts_with(expected), "{fault}");
+    }
+}
