--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -12,8 +12,18 @@
     Action, Effect, Event, Gauges, Micros, Outcome, Request, RequestId, Settings,
 };
 use cleatpulley_policy::Controller;
+use cleatpulley_results::history::{Effect as KeyEffect, History, Recovered, Verdict};
+use cleatpulley_results::record::{digest, Outcome as Ending, ScopedKey};
 use std::collections::{BTreeSet, HashMap};
 
+pub use cleatpulley_results::history;
+
+mod keyed;
+
+use keyed::Meeting;
+
+pub use keyed::{Keys, Owner};
+
 /// Gauges are asked for so long before a timer, that they are there and fresh when it fires.
 const GAUGE_LEAD: Micros = 4_000;
 /// Older gauges tell the controller nothing about the present.
@@ -49,7 +59,7 @@
     pub rank: f64,
     /// It names a subject.
     pub has_subject: bool,
-    /// What all tries of one request share, where its caller told it. Kept, and used by nothing yet.
+    /// What all tries of one request share, where its caller told it.
     pub key: Option<Box<[u8]>>,
     /// Its body, as it came.
     pub body: Vec<u8>,
@@ -67,7 +77,7 @@
 }
 
 /// What adapters tell the exchange.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub enum Fact {
     /// The runtime is up, and has been for so long.
     Ready(Micros),
@@ -123,11 +133,28 @@
     },
     /// The gauges, just read.
     Gauges(Gauges),
+    /// The runtime is another process than before: what ran there has ended, and nobody knows how.
+    RuntimeLost,
     /// The notice to leave.
     Drain {
         /// When the process is stopped.
         stop_at: Micros,
     },
+    /// What was kept of keys before this start.
+    Recovered(Box<Recovered>),
+    /// All that was to be kept up to this ticket is durable.
+    Durable(u64),
+    /// Whether anything can be kept at present. Where it can't, nothing counts as written that is not durable.
+    Keeping(bool),
+    /// What was kept of a request's key.
+    Recalled {
+        /// The request.
+        id: RequestId,
+        /// The number it was asked for with.
+        number: u64,
+        /// How the key ended; none where that can't be read.
+        outcome: Option<Ending>,
+    },
 }
 
 /// The one final answer to a request.
@@ -146,6 +173,28 @@
     Failed,
     /// The due time has passed; with no promise either.
     Expired,
+    /// The request is at fault; it never ran.
+    Rejected(Fault),
+}
+
+/// What is wrong with a request that is read well.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// Its key belongs to a request of another class or body.
+    KeyTaken,
+    /// Its class takes no request without a key.
+    KeyMissing,
+}
+
+impl Fault {
+    /// What its caller is told.
+    #[must_use]
+    pub fn text(self) -> &'static str {
+        match self {
+            Self::KeyTaken => "the key belongs to another request",
+            Self::KeyMissing => "this class takes no request without a key",
+        }
+    }
 }
 
 /// A call to what lies below.
@@ -206,6 +255,17 @@
     Feedback(f64),
     /// Close connections that carried nothing for this time.
     CloseIdle(Micros),
+    /// Write or erase what is kept of a key.
+    Keep(KeyEffect),
+    /// Read how a request's key ended.
+    Recall {
+        /// The request.
+        id: RequestId,
+        /// Never used again: an id may be, once its request is over.
+        number: u64,
+        /// Its key.
+        key: ScopedKey,
+    },
 }
 
 #[derive(Debug)]
@@ -215,6 +275,12 @@
     /// A run waits for its call, which was not made yet or has to be made again.
     AtCall,
     Calling,
+    /// To run once its intent is durable: as good as running to the controller, and nothing was sent.
+    Starting,
+    /// Its run is over, and its result is not durable yet.
+    Ending,
+    /// Waits for how its key ends, or for that to be read.
+    Waiting,
 }
 
 /// A request that owes an answer or still runs.
@@ -228,11 +294,13 @@
     /// Its start may never have reached the runtime, and then no end will be told.
     doubtful: bool,
     stage: Stage,
-    /// What all tries of the request share.
-    key: Option<Box<[u8]>>,
+    /// It carries a key that is kept.
+    keyed: bool,
+    /// What the controller was told of it, for a try that may have to be decided on anew.
+    request: Request,
     /// The request's body; kept beyond the start only where a start may be sent again.
     body: Vec<u8>,
-    /// The last call that the run wanted.
+    /// The last call that the run wanted, or the number of its recall.
     notice: u64,
     call: Vec<u8>,
 }
@@ -253,6 +321,10 @@
     gauged: Micros,
     /// The timer that gauges were last asked for.
     asked_for: Micros,
+    keys: Option<Keys>,
+    key_effects: Vec<KeyEffect>,
+    /// What the controller was last told of the table.
+    told_kept: (usize, bool),
 }
 
 impl Exchange {
@@ -274,19 +346,24 @@
             gauges: Gauges::default(),
             gauged: 0,
             asked_for: 0,
+            keys: None,
+            key_effects: Vec::new(),
+            told_kept: (0, true),
         }
     }
 
-    /// Requests that still owe an answer.
+    /// One that keeps the results of keyed requests.
     #[must_use]
-    pub fn unanswered(&self) -> usize {
-        self.dues.len()
+    pub fn with_keys(mut settings: Settings, seed: u64, keys: Keys) -> Self {
+        // The controller forgets tries that nobody can wait for; it is told how large the table is.
+        settings.classes.iter_mut().for_each(|class| class.window = class.window.min(class.deadline));
+        Self { keys: Some(keys), ..Self::new(settings, seed) }
     }
 
-    /// The key that a request's caller told, while the request is known here.
+    /// Requests that still owe an answer.
     #[must_use]
-    pub fn key(&self, id: RequestId) -> Option<&[u8]> {
-        self.entries.get(&id)?.key.as_deref()
+    pub fn unanswered(&self) -> usize {
+        self.dues.len()
     }
 
     /// Hears a fact. What the controller has to decide waits for the next [`advance`](Self::advance).
@@ -294,7 +371,7 @@
         match fact {
             Fact::Ready(since) => self.start(now, now.saturating_sub(since), commands),
             Fact::Arrived(arrival) => self.arrive(now, arrival, commands),
-            Fact::OriginLost(connection) => self.lose_origin(connection, commands),
+            Fact::OriginLost(connection) => self.lose_origin(now, connection, commands),
             Fact::CallWanted { id, notice, body } => {
                 let Some(entry) = self.entries.get_mut(&id) else { return };
                 if matches!(entry.stage, Stage::Held) {
@@ -310,18 +387,18 @@
                 self.events.push(Event::CallNeeded(id));
             }
             Fact::RunEnded { id, outcome, elapsed, result } => {
-                self.end_run(id, outcome, elapsed, result, commands);
+                self.end_run(now, id, outcome, elapsed, result, commands);
             }
             Fact::OrderRefused { id, order: Order::Start } => {
-                self.end_run(id, Outcome::Void, 0, Vec::new(), commands);
+                self.end_run(now, id, Outcome::Void, 0, Vec::new(), commands);
             }
             Fact::OrderRefused { id, .. } => {
                 // The run can't go on, and nothing better is known to be done for its caller.
-                if self.answer(id, Answer::Failed, commands) {
+                if self.answer(now, id, Answer::Failed, commands) {
                     self.events.push(Event::Gone(id));
                 }
             }
-            Fact::OrderInDoubt { id, order } => self.settle(id, order, commands),
+            Fact::OrderInDoubt { id, order } => self.settle(now, id, order, commands),
             Fact::CallEnded { id, outcome, elapsed, reply } => {
                 let Some(entry) = self.entries.get_mut(&id) else { return };
                 if !matches!(entry.stage, Stage::Calling) {
@@ -339,13 +416,18 @@
                 self.gauges = gauges;
                 self.gauged = now;
             }
+            Fact::RuntimeLost => self.lose_runs(now, commands),
             Fact::Drain { stop_at } => self.events.push(Event::Drain { stop_at }),
+            Fact::Recovered(_) | Fact::Durable(_) | Fact::Keeping(_) | Fact::Recalled { .. } => {
+                self.hear_of_keys(now, fact, commands);
+            }
         }
     }
 
     /// Lets the controller decide where it is time to: events are gathered into one step, and steps are no
     /// closer than the tick.
     pub fn advance(&mut self, now: Micros, commands: &mut Vec<Command>) {
+        self.advance_keys(now, commands);
         if now >= self.stepped + self.settings.tick {
             while let Some(&(at, token)) = self.timers.first() {
                 if at > now {
@@ -386,7 +468,8 @@
             }
         });
         let due = self.dues.first().map(|&(due, _)| due + self.grace());
-        [events, timer, due].into_iter().flatten().min()
+        let keys = self.keys.as_ref().and_then(|keys| keys.history.next());
+        [events, timer, due, keys].into_iter().flatten().min()
     }
 
     /// Guards against an answer that the controller does not give: half of the slack is left to send it.
@@ -407,6 +490,7 @@
 
     fn step(&mut self, now: Micros, commands: &mut Vec<Command>) {
         self.stepped = now;
+        self.tell_kept();
         let mut events = std::mem::take(&mut self.events);
         for event in &mut events {
             if let Event::Arrived(request) = event {
@@ -417,7 +501,7 @@
         let mut actions = std::mem::take(&mut self.actions);
         self.controller.step(now, &events, &mut actions);
         for action in actions.drain(..) {
-            self.act(action, commands);
+            self.act(now, action, commands);
         }
         self.actions = actions;
         events.clear();
@@ -426,36 +510,25 @@
     }
 
     fn arrive(&mut self, now: Micros, arrival: Arrival, commands: &mut Vec<Command>) {
-        let Arrival { origin, id, class, caller, door, work, memory_kb, rank, has_subject, key, body } =
+        let Arrival { origin, mut id, class, caller, door, work, memory_kb, rank, has_subject, key, body } =
             arrival;
+        if key.is_some() {
+            id = self.own_id(id, origin, class);
+        }
         let Some(settings) = self.settings.classes.get(class) else {
             commands.push(Command::Answer { to: origin, answer: Answer::Failed });
             return;
         };
         // Ids are new with every try: one that is open already may run, and must not run again.
-        if self.entries.contains_key(&id) {
+        let runs = self.keys.as_ref().is_some_and(|keys| keys.history.is_run(id));
+        if runs || self.entries.contains_key(&id) {
             commands.push(Command::Answer { to: origin, answer: Answer::Failed });
             return;
         }
         // Guards against clocks that differ: nothing came later than now, or longer ago than anyone waits.
         let door = door.min(now).max(now.saturating_sub(settings.deadline));
         let due = (door + settings.deadline).max(now);
-        let entry = Entry {
-            origin,
-            class,
-            door,
-            due,
-            answered: false,
-            doubtful: false,
-            stage: Stage::Held,
-            key,
-            body,
-            notice: 0,
-            call: Vec::new(),
-        };
-        self.entries.insert(id, entry);
-        self.dues.insert((due, id));
-        self.events.push(Event::Arrived(Request {
+        let mut request = Request {
             id,
             due: None,
             prior: None,
@@ -469,44 +542,111 @@
             caller,
             rank,
             memory_kb,
-        }));
+            keep: false,
+        };
+        let meeting = match &mut self.keys {
+            Some(keys) => keys.meet(now, &mut request, key.as_deref(), &body, self.settings.memory_kb),
+            None => Meeting::Decide,
+        };
+        let mut entry = Entry {
+            origin,
+            class,
+            door,
+            due,
+            answered: false,
+            doubtful: false,
+            stage: Stage::Held,
+            keyed: request.keep,
+            request: request.clone(),
+            body,
+            notice: 0,
+            call: Vec::new(),
+        };
+        match meeting {
+            Meeting::Decide => self.events.push(Event::Arrived(request)),
+            Meeting::Answer(answer) => {
+                commands.push(Command::Answer { to: origin, answer });
+                return;
+            }
+            Meeting::Wait(number) => {
+                entry.stage = Stage::Waiting;
+                entry.notice = number;
+            }
+            Meeting::Recall(key) => {
+                entry.stage = Stage::Waiting;
+                entry.body = Vec::new();
+                entry.notice = self.next_recall();
+                commands.push(Command::Recall { id, number: entry.notice, key });
+            }
+        }
+        self.entries.insert(id, entry);
+        self.dues.insert((due, id));
     }
 
-    fn lose_origin(&mut self, connection: u64, commands: &mut Vec<Command>) {
+    fn lose_origin(&mut self, now: Micros, connection: u64, commands: &mut Vec<Command>) {
         let lost = |e: &Entry| e.origin.connection == connection && !e.answered;
         let mut ids: Vec<_> =
             self.entries.iter().filter(|(_, e)| lost(e)).map(|(id, e)| (e.door, *id)).collect();
         ids.sort_unstable();
         for (_, id) in ids {
-            self.over(id, commands);
             self.events.push(Event::Gone(id));
+            self.over(now, id, commands);
+        }
+    }
+
+    /// Ends all that was started: its end will never be told.
+    fn lose_runs(&mut self, now: Micros, commands: &mut Vec<Command>) {
+        let started = |entry: &Entry| matches!(entry.stage, Stage::Running | Stage::AtCall | Stage::Calling);
+        let mut ids: Vec<_> =
+            self.entries.iter().filter(|(_, e)| started(e)).map(|(id, e)| (e.door, *id)).collect();
+        ids.sort_unstable();
+        for (_, id) in ids {
+            self.end_run(now, id, Outcome::Broken, 0, Vec::new(), commands);
         }
     }
 
     fn end_run(
         &mut self,
+        now: Micros,
         id: RequestId,
         outcome: Outcome,
         elapsed: Micros,
         result: Vec<u8>,
         commands: &mut Vec<Command>,
     ) {
-        let Some(entry) = self.entries.get(&id) else { return };
-        if matches!(entry.stage, Stage::Held) {
+        let served = outcome == Outcome::Success;
+        let Some(entry) = self.entries.get_mut(&id) else {
+            // Nobody waits for it here any more; what is kept of its key is told all the same.
+            let ending = if served { Ending::Served(result) } else { Ending::Failed };
+            return self.end_key(now, id, ending, commands);
+        };
+        if !matches!(entry.stage, Stage::Running | Stage::AtCall | Stage::Calling) {
             return;
         }
         if matches!(entry.stage, Stage::Calling) {
             commands.push(Command::Abandon(id));
         }
-        let served = outcome == Outcome::Success;
-        self.answer(id, if served { Answer::Served(result) } else { Answer::Failed }, commands);
+        if self.keys.as_ref().is_some_and(|keys| keys.history.is_run(id)) {
+            // Told once its result is durable; its place on the cores is free now.
+            entry.stage = Stage::Ending;
+            if entry.answered {
+                self.entries.remove(&id);
+            }
+            self.events.push(Event::RunEnded { id, outcome, elapsed });
+            if outcome == Outcome::Void {
+                return self.key_never_ran(now, id, commands);
+            }
+            let ending = if served { Ending::Served(result) } else { Ending::Failed };
+            return self.end_key(now, id, ending, commands);
+        }
+        self.answer(now, id, if served { Answer::Served(result) } else { Answer::Failed }, commands);
         self.entries.remove(&id);
         self.events.push(Event::RunEnded { id, outcome, elapsed });
     }
 
     /// Settles a command that may or may not have reached the runtime, so that nothing runs twice: a start
     /// again may run again what has run and ended, and a reply again may answer a later call.
-    fn settle(&mut self, id: RequestId, order: Order, commands: &mut Vec<Command>) {
+    fn settle(&mut self, now: Micros, id: RequestId, order: Order, commands: &mut Vec<Command>) {
         let Some(entry) = self.entries.get_mut(&id) else { return };
         let class = &self.settings.classes[entry.class];
         if !matches!(entry.stage, Stage::Running) {
@@ -518,8 +658,12 @@
             }
             Order::Start if entry.notice == 0 => {
                 entry.doubtful = true;
-                if entry.answered {
-                    self.over(id, commands);
+                let answered = entry.answered;
+                if let Some(keys) = &mut self.keys {
+                    keys.history.doubtful(id);
+                }
+                if answered {
+                    self.over(now, id, commands);
                 }
             }
             // Names the call that is left out: harmless where the run has gone on already.
@@ -531,13 +675,16 @@
         }
     }
 
-    fn act(&mut self, action: Action, commands: &mut Vec<Command>) {
+    fn act(&mut self, now: Micros, action: Action, commands: &mut Vec<Command>) {
         match action {
             Action::Run(id) => {
                 let Some(entry) = self.entries.get_mut(&id) else { return };
                 if !matches!(entry.stage, Stage::Held) {
                     return;
                 }
+                if entry.keyed {
+                    return self.run_keyed(now, id, commands);
+                }
                 entry.stage = Stage::Running;
                 let safe = self.settings.classes[entry.class].effect == Effect::Safe;
                 let body = if safe { entry.body.clone() } else { std::mem::take(&mut entry.body) };
@@ -547,13 +694,20 @@
                 // The promise that it never ran is only given where that is known.
                 let held = self.entries.get(&id).is_some_and(|e| matches!(e.stage, Stage::Held));
                 let refused = Answer::Refused { later: avoid_for, last };
-                self.answer(id, if held { refused } else { Answer::Failed }, commands);
+                if !held || !self.refuse_keyed(now, id, &refused, commands) {
+                    self.answer(now, id, if held { refused } else { Answer::Failed }, commands);
+                }
+            }
+            Action::Share(id) if self.entries.get(&id).is_some_and(|entry| entry.keyed) => {
+                if let Some(entry) = self.entries.get_mut(&id).filter(|e| matches!(e.stage, Stage::Held)) {
+                    entry.stage = Stage::Waiting;
+                }
             }
             Action::Fail(id) | Action::Share(id) => {
                 // The controller gives up a little before the due time, so that the answer comes by then.
                 let late = self.stepped + self.settings.answer_slack;
                 let past = self.entries.get(&id).is_some_and(|entry| late >= entry.due);
-                self.answer(id, if past { Answer::Expired } else { Answer::Failed }, commands);
+                self.answer(now, id, if past { Answer::Expired } else { Answer::Failed }, commands);
             }
             Action::Call { id, timeout } => {
                 let Some(entry) = self.entries.get_mut(&id) else { return };
@@ -576,28 +730,31 @@
             Action::Advertise(value) => commands.push(Command::Feedback(value)),
             Action::CloseIdle(after) => commands.push(Command::CloseIdle(after)),
             Action::Health { good, .. } => commands.push(Command::Health(good)),
-            // No keys come on these sockets, so that none is kept.
+            // What is kept of a key is the history's affair.
             Action::Remember { .. } | Action::Forget(_) => {}
         }
     }
 
     /// Answers a request unless it was answered before; tells whether it did.
-    fn answer(&mut self, id: RequestId, answer: Answer, commands: &mut Vec<Command>) -> bool {
+    fn answer(&mut self, now: Micros, id: RequestId, answer: Answer, commands: &mut Vec<Command>) -> bool {
         let Some(entry) = self.entries.get(&id).filter(|entry| !entry.answered) else { return false };
         commands.push(Command::Answer { to: entry.origin, answer });
-        self.over(id, commands);
+        self.over(now, id, commands);
         true
     }
 
     /// No answer is owed any more: a held request is gone, a call abandoned, and a run ends in its own time.
-    fn over(&mut self, id: RequestId, commands: &mut Vec<Command>) {
+    fn over(&mut self, now: Micros, id: RequestId, commands: &mut Vec<Command>) {
         let Some(entry) = self.entries.get_mut(&id) else { return };
         entry.answered = true;
         self.dues.remove(&(entry.due, id));
+        let keyed = entry.keyed;
         match entry.stage {
-            Stage::Held => {
+            Stage::Held | Stage::Ending | Stage::Waiting => {
                 self.entries.remove(&id);
             }
+            // Whether it still starts is for those to say who wait for it.
+            Stage::Starting => {}
             Stage::Calling => {
                 entry.stage = Stage::AtCall;
                 commands.push(Command::Abandon(id));
@@ -609,6 +766,9 @@
             }
             Stage::Running | Stage::AtCall => {}
         }
+        if keyed {
+            self.leave_key(now, id, commands);
+        }
     }
 
     fn keep_dues(&mut self, now: Micros, commands: &mut Vec<Command>) {
@@ -616,8 +776,8 @@
             if due + self.grace() > now {
                 return;
             }
-            self.answer(id, Answer::Expired, commands);
             self.events.push(Event::Gone(id));
+            self.answer(now, id, Answer::Expired, commands);
         }
     }
 }
--- /dev/null
+++ b/crates/exchange/tests/keyed_crashes.rs
@@ -0,0 +1,402 @@
+//! The core with kept results on a disk in memory, against a runtime that has effects: crashes and faults at any
+//! operation of the disk, breaks of the link, callers that leave, repeats without end. Judged from the outside: no key
+//! runs twice, nobody is turned away after a run, no two results differ, none that was told is forgotten, and each try
+//! is answered once and by its due time, unless its process died.
+
+use cleatpulley_exchange::history::{Bounds, History};
+use cleatpulley_exchange::{Answer, Arrival, Command, Exchange, Fact, Keys, Order, Origin, Owner};
+use cleatpulley_keep::memory::{Fault, Memory};
+use cleatpulley_keep::Options;
+use cleatpulley_policy::interface::*;
+use cleatpulley_results::journal::Journal;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+const MS: Micros = 1_000;
+const SECOND: Micros = 1_000_000;
+const WINDOW: Micros = 3_600 * SECOND;
+
+fn settings() -> Settings {
+    let class = |effect| Class {
+        effect,
+        aim: SECOND,
+        aim_stretch: 0.0,
+        deadline: 2 * SECOND,
+        late_worth: 0.0,
+        worth: 1.0,
+        window: 0,
+        calls: false,
+        skip_worth: 0.0,
+    };
+    Settings {
+        classes: vec![class(Effect::Safe), class(Effect::Unsafe)],
+        tenants: Vec::new(),
+        over_share_worth: 0.1,
+        worth_by_work: false,
+        marks_retry: false,
+        servers: 1,
+        callers: 2,
+        cores: 3,
+        memory_kb: 2_000.0,
+        entry_kb: 0.2,
+        run_factor: 4.0,
+        below: Below::Nothing,
+        idle: 30 * SECOND,
+        linger: 200 * MS,
+        fresh: 0,
+        advert: Advert::Unused,
+        max_avoid: SECOND,
+        list_follows_health: false,
+        cold_start: false,
+        cold_speed: 0.2,
+        warm_after: 10 * SECOND,
+        answer_slack: 60 * MS,
+        drain_grace: SECOND,
+        crowd: 6.0,
+        tick: 2 * MS,
+    }
+}
+
+/// A try that has no answer yet.
+struct Try {
+    key: Option<u64>,
+    due: Micros,
+    other_body: bool,
+}
+
+/// The process and its keeper.
+struct Life {
+    exchange: Exchange,
+    journal: Option<Journal<Memory>>,
+    jobs: VecDeque<Command>,
+    well: bool,
+    open: BTreeMap<u32, Try>,
+    /// The link to the runtime: commands on their way.
+    link: VecDeque<(u64, Vec<u8>)>,
+}
+
+#[derive(Default)]
+struct Met {
+    runs: u64,
+    shared: u64,
+    recalled: u64,
+    unknown: u64,
+    refused: u64,
+    expired: u64,
+    reopened: u64,
+    doubts: u64,
+    crashes: u64,
+}
+
+struct World {
+    random: SmallRng,
+    now: Micros,
+    next: u32,
+    disk: Memory,
+    /// Runs of each key and the id that ran.
+    runs: BTreeMap<u64, (u32, u64)>,
+    /// The result that somebody was told.
+    told: BTreeMap<u64, Vec<u8>>,
+    /// Runs under way, by id: the key, if any.
+    running: BTreeMap<u64, Option<u64>>,
+    /// The disk has failed in this life, or was not read yet.
+    disk_failed: bool,
+    met: Met,
+}
+
+impl World {
+    fn start(&mut self) -> Life {
+        let bounds = Bounds { entries: 500, bytes: 100_000, window: WINDOW, stall: 40 * MS, seed: 5 };
+        let keys = Keys::new(vec![false, true], false, Owner::Caller, History::new(bounds));
+        let exchange = Exchange::with_keys(settings(), 7, keys);
+        let (jobs, link, open) = (VecDeque::new(), VecDeque::new(), BTreeMap::new());
+        let mut life = Life { exchange, journal: None, jobs, well: true, open, link };
+        self.hear(&mut life, Fact::Ready(100 * SECOND));
+        life
+    }
+
+    fn hear(&mut self, life: &mut Life, fact: Fact) {
+        let mut commands = Vec::new();
+        life.exchange.hear(self.now, fact, &mut commands);
+        self.obey(life, commands);
+    }
+
+    fn advance(&mut self, life: &mut Life, by: Micros) {
+        let until = self.now + by;
+        loop {
+            let next = life.exchange.next().filter(|at| *at <= until);
+            self.now = self.now.max(next.unwrap_or(until));
+            let mut commands = Vec::new();
+            life.exchange.advance(self.now, &mut commands);
+            self.obey(life, commands);
+            if next.is_none() {
+                break;
+            }
+        }
+        let overdue = life.open.values().filter(|open| open.due + 60 * MS < self.now).count();
+        assert_eq!(overdue, 0, "tries without an answer after their due time");
+    }
+
+    fn obey(&mut self, life: &mut Life, commands: Vec<Command>) {
+        for command in commands {
+            match command {
+                Command::Answer { to, answer } => {
+                    let asked = life.open.remove(&to.stream).expect("one answer for each try");
+                    assert!(self.now <= asked.due + 60 * MS, "answered after the due time");
+                    self.judge(&asked, answer);
+                }
+                Command::Start { id, body, .. } => life.link.push_back((id, body)),
+                Command::Keep(_) | Command::Recall { .. } => life.jobs.push_back(command),
+                _ => {}
+            }
+        }
+    }
+
+    fn judge(&mut self, asked: &Try, answer: Answer) {
+        let Some(key) = asked.key else { return };
+        let told = self.told.contains_key(&key);
+        match answer {
+            Answer::Served(result) => {
+                assert!(!asked.other_body, "another request's result");
+                assert_eq!(result, self.result(key), "the result of its own run");
+                let before = self.told.insert(key, result.clone());
+                assert!(before.is_none_or(|before| before == result), "two results that differ");
+                self.met.recalled += u64::from(told);
+            }
+            Answer::Refused { .. } => {
+                self.met.refused += 1;
+                assert!(!self.runs.contains_key(&key), "key {key} turned away after its run");
+            }
+            Answer::Rejected(_) => assert!(asked.other_body),
+            Answer::Failed => {
+                self.met.unknown += 1;
+                // A disk that fails may keep a result from being read, and takes nothing back.
+                assert!(!told || self.disk_failed, "a result that was told is forgotten");
+            }
+            Answer::Expired => self.met.expired += 1,
+        }
+    }
+
+    fn result(&self, key: u64) -> Vec<u8> {
+        format!("seat of {key} by {}", self.runs[&key].1).into_bytes()
+    }
+
+    /// The keeper does what it is asked, or some of it.
+    fn keep(&mut self, life: &mut Life) {
+        if life.journal.is_none() {
+            self.disk.release();
+            let options = Options { segment_bytes: 4_096, ..Options::default() };
+            let Ok((mut journal, recovered, _)) = Journal::open(self.disk.clone(), options, self.now) else {
+                return;
+            };
+            if life.exchange.history().is_some_and(|history| history.is_empty()) {
+                self.hear(life, Fact::Recovered(Box::new(recovered)));
+            }
+            self.disk_failed = !life.well;
+            if !life.well {
+                if journal.probe().is_err() {
+                    return;
+                }
+                self.met.reopened += 1;
+                life.well = true;
+                // What was asked while nothing was kept is not done.
+                life.jobs.retain(|job| matches!(job, Command::Recall { .. }));
+                self.hear(life, Fact::Keeping(true));
+            }
+            life.journal = Some(journal);
+        }
+        let most = self.random.random_range(1..20);
+        for _ in 0..most {
+            let Some(job) = life.jobs.pop_front() else { break };
+            let Some(journal) = &mut life.journal else { return };
+            match job {
+                Command::Keep(effect) if journal.write(&effect).is_err() => return self.lose_journal(life),
+                Command::Recall { id, number, key } => {
+                    let outcome = journal.recall(self.now, &key).unwrap_or_else(|_| {
+                        self.disk_failed = true;
+                        None
+                    });
+                    self.hear(life, Fact::Recalled { id, number, outcome });
+                }
+                _ => {}
+            }
+        }
+        let Some(journal) = &mut life.journal else { return };
+        if self.random.random_range(0..8) == 0 && journal.maintain(self.now, 2_000).is_err() {
+            return self.lose_journal(life);
+        }
+        if let Some(journal) = &mut life.journal {
+            if journal.waits() {
+                match journal.flush() {
+                    Ok(ticket) => self.hear(life, Fact::Durable(ticket)),
+                    Err(_) => self.lose_journal(life),
+                }
+            }
+        }
+    }
+
+    fn lose_journal(&mut self, life: &mut Life) {
+        self.disk_failed = true;
+        life.journal = None;
+        life.jobs.clear();
+        if std::mem::replace(&mut life.well, false) {
+            self.hear(life, Fact::Keeping(false));
+        }
+    }
+
+    /// The runtime reads a command.
+    fn read_link(&mut self, life: &mut Life) {
+        let Some((id, body)) = life.link.pop_front() else { return };
+        let key =
+            body.strip_prefix(b"seat ").and_then(|rest| rest.first_chunk()).map(|b| u64::from_be_bytes(*b));
+        if let Some(key) = key {
+            self.met.runs += 1;
+            let run = self.runs.entry(key).or_insert((0, id));
+            run.0 += 1;
+            assert_eq!(run.0, 1, "key {key} ran twice");
+        }
+        self.running.insert(id, key);
+    }
+
+    fn ask(&mut self, life: &mut Life) {
+        let key = (self.random.random_range(0..4) > 0).then(|| self.random.random_range(0..10_u64));
+        let other_body =
+            key.is_some_and(|key| self.runs.contains_key(&key)) && self.random.random_range(0..15) == 0;
+        let body = match key {
+            Some(_) if other_body => b"another".to_vec(),
+            Some(key) => [&b"seat "[..], &key.to_be_bytes()].concat(),
+            None => b"lobby".to_vec(),
+        };
+        self.next += 1;
+        // A proxy sends a request again under the id that it had.
+        let same = key.filter(|_| self.random.random_range(0..8) == 0);
+        let id = same.map_or(1_000 + u64::from(self.next), |key| 500 + key);
+        let origin = Origin { connection: u64::from(self.next % 5), stream: self.next };
+        let due = self.now + 2 * SECOND;
+        life.open.insert(self.next, Try { key, due, other_body });
+        let arrival = Arrival {
+            origin,
+            id,
+            class: usize::from(key.is_some()),
+            caller: 3,
+            door: self.now,
+            work: 10 * MS,
+            memory_kb: 10.0,
+            rank: 0.5,
+            has_subject: false,
+            key: key.map(|key| key.to_string().into_bytes().into_boxed_slice()),
+            body,
+        };
+        let waits = life.exchange.unanswered();
+        self.hear(life, Fact::Arrived(arrival));
+        self.met.shared += u64::from(key.is_some() && life.exchange.unanswered() > waits);
+    }
+
+    fn step(&mut self, life: &mut Life) {
+        match self.random.random_range(0..20) {
+            0..=5 => self.ask(life),
+            6..=9 => self.keep(life),
+            10..=12 => self.read_link(life),
+            13..=14 => {
+                let place = self.random.random_range(0..self.running.len().max(1));
+                if let Some((&id, &key)) = self.running.iter().nth(place) {
+                    self.running.remove(&id);
+                    let result = key.map_or_else(Vec::new, |key| self.result(key));
+                    let ended = Fact::RunEnded { id, outcome: Outcome::Success, elapsed: MS, result };
+                    self.hear(life, ended);
+                }
+            }
+            15 => {
+                // The link breaks: what was on it is read or not, and the exchange hears that it is in doubt.
+                let flying: Vec<_> = life.link.drain(..).collect();
+                for (id, body) in flying {
+                    if self.random.random() {
+                        life.link.push_back((id, body));
+                        self.read_link(life);
+                    }
+                    self.met.doubts += 1;
+                    self.hear(life, Fact::OrderInDoubt { id, order: Order::Start });
+                }
+            }
+            16 if self.random.random_range(0..3) == 0 => {
+                let connection = self.random.random_range(0..5);
+                life.open.retain(|stream, _| u64::from(stream % 5) != connection);
+                self.hear(life, Fact::OriginLost(connection));
+            }
+            _ => {
+                let by = self.random.random_range(1..30) * MS;
+                self.advance(life, by);
+            }
+        }
+    }
+}
+
+fn history(seed: u64, met: &mut Met) {
+    let mut world = World {
+        random: SmallRng::seed_from_u64(seed),
+        now: 1_000_000 * SECOND,
+        next: 0,
+        disk: Memory::default(),
+        runs: BTreeMap::new(),
+        told: BTreeMap::new(),
+        running: BTreeMap::new(),
+        disk_failed: true,
+        met: std::mem::take(met),
+    };
+    for life_number in 0..5_u64 {
+        let mut life = world.start();
+        world.disk_failed = true;
+        let at = world.random.random_range(5..90);
+        let fault = match world.random.random_range(0..5) {
+            0 | 1 => vec![Fault::Fail(at)],
+            2 => vec![Fault::Full(at, 3_000)],
+            3 => vec![Fault::Short(at)],
+            _ => vec![Fault::Crash(at)],
+        };
+        world.disk.set_faults(&fault);
+        for _ in 0..world.random.random_range(30..200) {
+            world.step(&mut life);
+        }
+        // Half of the lives are lived to their end: every try has its answer.
+        if world.random.random() {
+            world.advance(&mut life, 3 * SECOND);
+            assert!(life.open.is_empty(), "tries without an answer");
+            assert_eq!(life.exchange.unanswered(), 0);
+        }
+        world.met.crashes += 1;
+        world.disk = world.disk.crash(seed ^ life_number);
+        // The runtime dies along, or its runs go on unheard; the clock steps back or time passes.
+        world.running.clear();
+        match world.random.random_range(0..4) {
+            0 => world.now -= 3_000 * SECOND / 10,
+            1 => world.now += 2 * SECOND,
+            _ => {}
+        }
+    }
+    *met = world.met;
+}
+
+#[test]
+fn no_key_runs_twice_whatever_fails() {
+    let number = std::env::var("RESULTS_SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(3_000);
+    let first = std::env::var("RESULTS_FROM").ok().and_then(|text| text.parse().ok()).unwrap_or(0);
+    let mut met = Met::default();
+    for seed in first..first + number {
+        history(seed, &mut met);
+    }
+    // Nobody should trust histories that meet nothing.
+    let counts = HashMap::from([
+        ("runs", met.runs),
+        ("shared", met.shared),
+        ("recalled", met.recalled),
+        ("unknown", met.unknown),
+        ("refused", met.refused),
+        ("expired", met.expired),
+        ("doubts", met.doubts),
+        ("reopened", met.reopened),
+    ]);
+    for (what, count) in &counts {
+        assert!(*count >= number / 4, "{what} met {count} times in {number} histories: {counts:?}");
+    }
+}
--- a/crates/keep/src/memory.rs
+++ b/crates/keep/src/memory.rs
@@ -129,6 +129,11 @@
         disk.faults = faults.to_vec();
     }
 
+    /// Lets another open it, as where whoever had it has closed it.
+    pub fn release(&self) {
+        self.disk().locked = false;
+    }
+
     /// What is there after a crash now, as the seed picks. The folder itself is of no use any more.
     #[must_use]
     pub fn crash(&self, seed: u64) -> Self {
--- a/crates/keep/src/opening.rs
+++ b/crates/keep/src/opening.rs
@@ -3,14 +3,15 @@
 use crate::error::Error;
 use crate::files::{Files, Handle};
 use crate::format::{
-    hint_name, named, segment_head, segment_name, Head, Kind, Named, RecordHead, RECORD_HEAD, SEGMENT_HEAD,
+    hint_name, named, record_head, segment_head, segment_name, Head, Kind, Named, RecordHead, RECORD_HEAD,
+    SEGMENT_HEAD,
 };
 use crate::hint;
 use crate::index::{Index, Place};
 use crate::reader::{Reader, Step, WINDOW};
 use crate::recover::{Found, Judge, Kept};
 use crate::scan::{self, Next};
-use crate::store::{print_of, Segment, Store};
+use crate::store::{print_of, Batch, Segment, Store};
 use std::collections::BTreeSet;
 
 /// A record that counts, if nothing newer has its key.
@@ -31,7 +32,8 @@
 }
 
 impl<F: Files> Store<F> {
-    pub(crate) fn recover(&mut self, writer: bool) -> Result<Found, Error> {
+    /// Reads what is there; appends to `unproven` the places of records that may not be durable, whatever is synced.
+    pub(crate) fn recover(&mut self, writer: bool, unproven: &mut Vec<(u32, Place)>) -> Result<Found, Error> {
         let mut found = Found::default();
         let names = self.files.list().map_err(Error::folder)?;
         let (mut ids, mut hints) = (Vec::new(), BTreeSet::new());
@@ -93,7 +95,11 @@
             let hinted =
                 hints.contains(&id) && Some(id) != newest && self.read_hint(slot, &mut claims, &mut found)?;
             if !hinted {
-                self.read_segment(slot, Some(id) == newest, writer, &mut claims, &mut found)?;
+                let proven = self.read_segment(slot, Some(id) == newest, writer, &mut claims, &mut found)?;
+                let after = |claim: &&Claim| {
+                    claim.put && claim.place.segment == slot && u64::from(claim.place.offset) >= proven
+                };
+                unproven.extend(claims.iter().filter(after).map(|claim| (claim.print, claim.place)));
             }
             if let Some(segment) = self.segment_mut(slot) {
                 segment.sealed = true;
@@ -204,14 +210,14 @@
         writer: bool,
         claims: &mut Vec<Claim>,
         found: &mut Found,
-    ) -> Result<(), Error> {
-        let Some(segment) = self.segment(slot) else { return Ok(()) };
+    ) -> Result<u64, Error> {
+        let Some(segment) = self.segment(slot) else { return Ok(u64::MAX) };
         let (file, name, size) = (segment.file, segment.name.clone(), segment.size);
         let mut judge = Judge::new(newest, SEGMENT_HEAD as u64);
         let mut kept = Vec::new();
         let mut reader = Reader::new(SEGMENT_HEAD as u64);
         loop {
-            let Some(segment) = self.segment(slot) else { return Ok(()) };
+            let Some(segment) = self.segment(slot) else { return Ok(u64::MAX) };
             match reader.next(self, segment)? {
                 Step::Record(record) => {
                     found.records += 1;
@@ -226,12 +232,13 @@
                 }
                 Step::End => break,
             }
-            let Some(segment) = self.segment_mut(slot) else { return Ok(()) };
+            let Some(segment) = self.segment_mut(slot) else { return Ok(u64::MAX) };
             for one in kept.drain(..) {
                 let place = Place::new(slot, one.offset as u32, one.head.size());
                 claim(segment, claims, one.head.kind, one.head.seq, place, one.head.size(), &one.key);
             }
         }
+        let proven = if newest { judge.proven() } else { u64::MAX };
         let (cut, damage) = judge.end(size);
         for (offset, bytes) in &damage {
             found.damage(&name, *offset, *bytes);
@@ -253,6 +260,33 @@
             // What was read may never have been synced; from here on it counts.
             self.files.sync(file).map_err(Error::io(&name, "sync"))?;
         }
+        Ok(proven)
+    }
+
+    /// Writes what may not be durable once more, to the new segment. Guards against a sync that failed before this
+    /// start: the system's cache still shows what it lost, no later sync reports it, and a compaction would drop the
+    /// durable record that it seems to replace.
+    pub(crate) fn rewrite_unproven(&mut self, unproven: &[(u32, Place)]) -> Result<(), Error> {
+        let mut again = false;
+        for (print, place) in unproven {
+            if !self.index.contains(*print, *place) {
+                continue;
+            }
+            let Some(segment) = self.segment(place.segment) else { continue };
+            let (file, name, salt) = (segment.file, segment.name.clone(), segment.head.salt);
+            let offset = u64::from(place.offset);
+            let head = self.read(file, &name, offset, RECORD_HEAD)?;
+            let Some(head) = record_head(&head, salt, offset) else { continue };
+            let key = self.read(file, &name, offset + RECORD_HEAD as u64, head.key_len)?;
+            // One that was damaged meanwhile is told of when it is read.
+            let Ok(Some(value)) = self.get(0, &key) else { continue };
+            let expiry = (head.expiry > 0).then_some(head.expiry);
+            self.write(Batch::default().put(&key, &value, expiry))?;
+            again = true;
+        }
+        if again {
+            self.sync()?;
+        }
         Ok(())
     }
 
--- a/crates/keep/src/recover.rs
+++ b/crates/keep/src/recover.rs
@@ -96,6 +96,8 @@
     /// Records after that damage: they count only if what lies before them turns out to have been synced.
     after: Vec<Kept>,
     damage: Vec<(u64, u64)>,
+    /// All before this offset was durable when the record there was written.
+    proven: u64,
 }
 
 impl Judge {
@@ -110,9 +112,17 @@
             doubt: None,
             after: Vec::new(),
             damage: Vec::new(),
+            proven: begin,
         }
     }
 
+    /// All before this offset is known to be durable; what lies after it may be known to the system's cache alone, also
+    /// after another sync, where an earlier one failed.
+    #[must_use]
+    pub fn proven(&self) -> u64 {
+        self.proven
+    }
+
     /// Takes a good record; appends to `kept` what counts now.
     pub fn record(&mut self, record: Kept, kept: &mut Vec<Kept>) {
         let (head, offset) = (record.head, record.offset);
@@ -129,6 +139,7 @@
             self.doubt = None;
             self.open = None;
             self.good = offset;
+            self.proven = offset;
         }
         if self.doubt.is_some() {
             self.after.push(record);
--- a/crates/keep/src/store.rs
+++ b/crates/keep/src/store.rs
@@ -225,10 +225,12 @@
             return Err(Error::Locked);
         }
         let mut store = Self::empty(files, options);
-        let mut found = store.recover(true)?;
+        let mut unproven = Vec::new();
+        let mut found = store.recover(true, &mut unproven)?;
         if store.active.is_none() {
             store.create_segment()?;
         }
+        store.rewrite_unproven(&unproven)?;
         found.keys = store.index.len() as u64;
         Ok((store, found))
     }
@@ -241,7 +243,7 @@
         let mut store = Self::empty(files, Options::default());
         let mut tries = 0;
         loop {
-            match store.recover(false) {
+            match store.recover(false, &mut Vec::new()) {
                 // A writer beside it compacted meanwhile: what was listed is gone.
                 Err(Error::Io { source, .. }) if source.kind() == ErrorKind::NotFound && tries < 5 => {
                     tries += 1;
--- a/crates/matcher/src/lib.rs
+++ b/crates/matcher/src/lib.rs
@@ -6,17 +6,20 @@
 pub mod conn;
 pub mod directory;
 pub mod front;
+pub mod keeping;
 pub mod runtime;
 pub mod store;
 
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, LoopHandle, Readiness};
-use cleatpulley_exchange::{Command, Exchange, Fact};
+use cleatpulley_exchange::history::{Bounds, History};
+use cleatpulley_exchange::{Command, Exchange, Fact, Keys, Owner};
 use cleatpulley_policy::interface::Micros;
 use cleatpulley_policy::interface::Settings;
 use cleatpulley_protocol::ajp;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -85,6 +88,25 @@
     pub settings: ajp::server::Settings,
 }
 
+/// Kept results of keyed requests.
+#[derive(Debug, Clone)]
+pub struct Results {
+    /// The folder of their store.
+    pub folder: PathBuf,
+    /// By class: whether results are kept.
+    pub classes: Vec<bool>,
+    /// A request of such a class without a key is not taken.
+    pub required: bool,
+    /// Whose keys are.
+    pub owner: Owner,
+    /// How much is kept, and for how long.
+    pub bounds: Bounds,
+    /// Memory that one entry is booked with, in KB.
+    pub entry_kb: f64,
+    /// The field of frames that carries keys.
+    pub frame_field: Option<String>,
+}
+
 /// All that a matcher is told at its start; where it comes from is the program's affair.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -110,6 +132,8 @@
     pub ajp: Option<AjpFront>,
     /// How the store is called.
     pub store_speaks: store::Speaks,
+    /// Kept results, where they are kept.
+    pub results: Option<Results>,
 }
 
 /// Reads the configuration again: the addresses that hold from now on, or what is wrong with it.
@@ -125,6 +149,7 @@
     runtime: runtime::Runtime,
     store: store::Store,
     directory: directory::Directory,
+    keeping: Option<keeping::Keeping>,
     facts: Vec<Fact>,
     commands: Vec<Command>,
     /// When the process is stopped, once the notice to leave has come.
@@ -152,7 +177,8 @@
         let listened = front.listen(address, speaks);
         listened.map_err(|e| io::Error::new(e.kind(), format!("listen: {address}: {e}")))
     };
-    let address = listen(options.listen, front::Speaks::Frames)?;
+    let key_field = options.results.as_ref().and_then(|results| results.frame_field.as_deref()).map(Rc::from);
+    let address = listen(options.listen, front::Speaks::Frames(key_field))?;
     tracing::info!("{} listens on {address}", options.name);
     if let Some(ajp) = options.ajp {
         let (settings, trusted) = (Rc::new(ajp.settings), Rc::new(ajp.trusted));
@@ -161,16 +187,27 @@
             tracing::info!("{} speaks AJP on {}", options.name, listen(address, speaks)?);
         }
     }
+    let (exchange, keeping) = match options.results {
+        None => (Exchange::new(options.settings, options.seed), None),
+        Some(results) => {
+            let keeping = keeping::Keeping::start(&handle, results.folder, results.bounds.seed)?;
+            let Results { classes, required, owner, bounds, entry_kb, .. } = results;
+            let keys = Keys::new(classes, required, owner, History::new(bounds));
+            let settings = Settings { entry_kb, ..options.settings };
+            (Exchange::with_keys(settings, options.seed, keys), Some(keeping))
+        }
+    };
     let Parties { runtime, store, lookup } = options.parties;
     let mut node = Node {
         reload,
         clock: Clock::new(),
         stop: options.stop,
-        exchange: Exchange::new(options.settings, options.seed),
+        exchange,
         front,
         runtime: runtime::Runtime::new(handle.clone(), runtime, options.class_names, options.gauge_names),
         store: store::Store::new(handle.clone(), store, options.store_speaks, calls),
         directory: directory::Directory::new(handle, lookup, &options.name),
+        keeping,
         facts: Vec::new(),
         commands: Vec::new(),
         stop_at: None,
@@ -178,6 +215,9 @@
     loop {
         let wait = node.turn();
         if node.is_over() {
+            if let Some(keeping) = node.keeping.take() {
+                keeping.stop();
+            }
             tracing::info!("left");
             return Ok(());
         }
@@ -200,6 +240,11 @@
         }
     }
 
+    /// The keeper of results has something to say.
+    pub fn kept(&mut self, fact: Fact) {
+        self.facts.push(fact);
+    }
+
     /// The event loop saw new connections.
     pub fn acceptable(&mut self, listener: usize) {
         self.front.note_listener(listener);
@@ -287,6 +332,16 @@
             }
             Command::Feedback(value) => self.front.set_feedback(value),
             Command::CloseIdle(after) => self.front.set_idle(after),
+            Command::Keep(effect) => {
+                if let Some(keeping) = &self.keeping {
+                    keeping.write(effect);
+                }
+            }
+            Command::Recall { id, number, key } => {
+                if let Some(keeping) = &self.keeping {
+                    keeping.recall(now, id, number, key);
+                }
+            }
         }
     }
 }
--- a/crates/matcher/src/runtime.rs
+++ b/crates/matcher/src/runtime.rs
@@ -45,6 +45,8 @@
     conn: Option<Conn>,
     /// `sync` was answered on this link.
     synced: bool,
+    /// How long the runtime had been up when it answered last.
+    age: Micros,
     /// Commands sent on earlier links and not settled; they wait for the load with this mark.
     doubtful: Vec<Sent>,
     barrier: u64,
@@ -78,6 +80,7 @@
             gauge_names,
             conn: None,
             synced: false,
+            age: 0,
             doubtful: Vec::new(),
             barrier: 0,
             retry_at: 0,
@@ -277,6 +280,13 @@
         match &*notice.t {
             "ready" => {
                 tracing::info!("runtime: {}, up for {} ms", notice.status, notice.time() / 1_000);
+                // One that is younger than it was is another process: what ran there is gone with the notices of it.
+                if std::mem::replace(&mut self.age, notice.time()) > notice.time() {
+                    tracing::warn!("runtime: it was started again; what ran there has no end");
+                    self.last = 0;
+                    self.doubtful.clear();
+                    facts.push(Fact::RuntimeLost);
+                }
                 self.synced = true;
                 self.well = true;
                 facts.push(Fact::Ready(notice.time()));
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -94,6 +94,8 @@
     size: f64,
     worth: f64,
     retry: bool,
+    /// Its result is to be kept.
+    keep: bool,
     /// Place among the requests of its class, from 0 to 1.
     place: f64,
     memory_kb: f64,
@@ -166,6 +168,9 @@
     requests: BTreeMap<RequestId, Record>,
     /// Entries in the table of keys and when they run out.
     entries: BTreeMap<RequestId, Micros>,
+    /// Entries of a table that is kept for us, and whether it takes more.
+    kept: usize,
+    keeps: bool,
     paces: Vec<Pace>,
     /// First tries of each tenant, fading over the memory span.
     tries: Vec<f64>,
@@ -207,6 +212,8 @@
             adjusted: 0,
             requests: BTreeMap::new(),
             entries: BTreeMap::new(),
+            kept: 0,
+            keeps: true,
             paces: settings.classes.iter().map(pace).collect(),
             tries: vec![0.0; settings.tenants.len().max(1)],
             gate: Gate::new(&settings, period),
@@ -259,6 +266,7 @@
                 actions.push(Action::Timer { at: self.now + self.period, token: 0 });
             }
             Event::Drain { stop_at } => self.begin_drain(stop_at, actions),
+            Event::Kept { entries, room } => (self.kept, self.keeps) = (entries, room),
         }
     }
 
@@ -289,7 +297,13 @@
         self.count(&record);
         if let Some(prior) = request.prior {
             if self.follow_prior(&mut record, prior, actions) {
-                self.requests.insert(record.id, record);
+                // Guards against repeats without end; what they repeat may have run, so that none is refused.
+                let full = record.keep && self.memory_full(record.memory_kb);
+                let id = record.id;
+                self.requests.insert(id, record);
+                if full {
+                    self.fail(id, actions);
+                }
                 return;
             }
         }
@@ -347,6 +361,7 @@
             size,
             worth: class.worth * if self.settings.worth_by_work { size * pace.work.max(1.0) } else { 1.0 },
             retry: request.retry,
+            keep: request.keep,
             place: (request.rank * bands).fract(),
             memory_kb: request.memory_kb,
             stage: Stage::Held,
@@ -370,12 +385,13 @@
 
     /// Settles a request that repeats another: true when it now waits for that one's outcome.
     /// Guards against a second run: whatever is not known to be held may have run. A keyed request that is
-    /// still held gives way to its newer try, whose caller is the one that waits.
+    /// still held gives way to its newer try, whose caller is the one that waits; both do where results are
+    /// kept.
     fn follow_prior(&mut self, record: &mut Record, prior: RequestId, actions: &mut Vec<Action>) -> bool {
         let keyed = self.settings.classes[record.class].effect != Effect::Safe;
         match self.requests.get_mut(&prior) {
             Some(old) if old.stage == Stage::Sharing(record.id) => return false,
-            Some(old) if old.stage == Stage::Held && keyed => {
+            Some(old) if old.stage == Stage::Held && keyed && !record.keep => {
                 let old = old.clone();
                 self.entries.remove(&prior);
                 self.requests.remove(&prior);
@@ -392,10 +408,11 @@
 
     fn turns_away(&self, record: &Record) -> bool {
         let class = &self.settings.classes[record.class];
-        let entry = if class.effect == Effect::Keyed { self.settings.entry_kb } else { 0.0 };
+        let entry = if record.keep || class.effect == Effect::Keyed { self.settings.entry_kb } else { 0.0 };
         let standing = self.standing_of(record);
         self.too_late_to_run(record)
-            || self.memory_kb() + record.memory_kb + entry > MARGIN * self.settings.memory_kb
+            || record.keep && !self.keeps
+            || self.memory_full(record.memory_kb + entry)
             || must_call(class) && (self.gate.closed(self.now, standing) || self.calls_crowded(record))
             || self.would_wait() && standing < self.cut
     }
@@ -524,7 +541,12 @@
             Stage::Held | Stage::Sharing(_) => record.memory_kb,
             _ => record.memory_kb * self.settings.run_factor.max(1.0),
         };
-        self.requests.values().map(of).sum::<f64>() + self.entries.len() as f64 * self.settings.entry_kb
+        self.requests.values().map(of).sum::<f64>()
+            + self.entries.len().max(self.kept) as f64 * self.settings.entry_kb
+    }
+
+    fn memory_full(&self, more: f64) -> bool {
+        self.memory_kb() + more > MARGIN * self.settings.memory_kb
     }
 
     fn remember(&mut self, id: RequestId, lifetime: Micros, actions: &mut Vec<Action>) {
@@ -816,7 +838,8 @@
         let (waiting, allowed) = self.held_work();
         let over = (waiting + self.lag - HOLD_SHARE * allowed).max(0.0) * (0.5 + self.next_random());
         // Never without a time to come back: what is refused now may be welcome in the next period.
-        let avoid_for = if self.drain.is_some() { Micros::MAX } else { (over as Micros).max(self.period) };
+        let away = self.drain.is_some() || record.keep && !self.keeps;
+        let avoid_for = if away { Micros::MAX } else { (over as Micros).max(self.period) };
         let avoid_for = avoid_for.min(self.settings.max_avoid);
         let last = record.retry || self.again > LAST_AGAIN || self.lag > LAST_LAG * allowed;
         actions.push(Action::Refuse { id: record.id, avoid_for, last });
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -160,6 +160,8 @@
     pub rank: f64,
     /// Memory while held.
     pub memory_kb: f64,
+    /// Its result is to be kept for its repeats, in a table that is told of by [`Event::Kept`].
+    pub keep: bool,
 }
 
 /// How a run or a call ended.
@@ -233,6 +235,13 @@
         /// When the process is stopped.
         stop_at: Micros,
     },
+    /// How the table of kept results stands.
+    Kept {
+        /// Its entries, each of which takes memory.
+        entries: usize,
+        /// It takes more: without room nothing that is to be kept may be admitted.
+        room: bool,
+    },
 }
 
 /// What the controller wants done.
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -129,11 +129,7 @@
                 return Err(format!("classes[{i}].name: {:?} is empty or taken", class.name));
             }
             match class.effect.as_str() {
-                "idempotent" | "at_most_once" => {}
-                // Front ends send nothing that links one try of a request to the next.
-                "deduplicated" => {
-                    return Err(format!("classes[{i}].effect: further tries can't be told on these sockets"))
-                }
+                "idempotent" | "at_most_once" | "deduplicated" => {}
                 other => return Err(format!("classes[{i}].effect: unknown effect {other:?}")),
             }
             for (key, value) in [("on_time", class.on_time), ("give_up", class.give_up)] {
--- a/crates/protocol/src/ajp/server.rs
+++ b/crates/protocol/src/ajp/server.rs
@@ -5,8 +5,9 @@
 
 use super::codec::{self, kind, Attribute, Forward, Way, BODY_OVERHEAD, MOST_HEADERS, NO_HEADER};
 use super::table::{Found, Table};
+use crate::frame::codec::LONGEST_KEY;
 use crate::machine::{Context, Machine, Standing, Status};
-use cleatpulley_exchange::{Answer, Arrival, Origin};
+use cleatpulley_exchange::{Answer, Arrival, Fault, Origin};
 use cleatpulley_policy::interface::{Micros, RequestId};
 use std::rc::Rc;
 use subtle::ConstantTimeEq;
@@ -23,8 +24,6 @@
 /// Memory booked for a request stays under this many KB, work under this many ms.
 const MOST_MEMORY: f64 = 2_000.0;
 const MOST_WORK: f64 = 1e9;
-/// A key is no longer than this.
-const LONGEST_KEY: usize = 256;
 const LONGEST_ID: usize = 256;
 
 /// Where a figure of a request stands.
@@ -144,6 +143,7 @@
         405 => "Method Not Allowed",
         408 => "Request Timeout",
         413 => "Content Too Large",
+        422 => "Unprocessable Content",
         503 => "Service Unavailable",
         504 => "Gateway Timeout",
         _ => "Internal Server Error",
@@ -530,6 +530,11 @@
                 self.respond(out, 503, &headers, b"turned away\n", reuse);
             }
             Answer::Failed => self.respond(out, 500, &headers, b"failed; it may have run\n", reuse),
+            Answer::Rejected(fault) => {
+                headers.push((NOT_RUN, "1"));
+                let status = if *fault == Fault::KeyTaken { 422 } else { 400 };
+                self.respond(out, status, &headers, fault.text().as_bytes(), reuse);
+            }
             Answer::Expired => {
                 self.respond(out, 504, &headers, b"not done in time; it may have run\n", reuse)
             }
--- a/crates/protocol/src/frame/connection.rs
+++ b/crates/protocol/src/frame/connection.rs
@@ -5,6 +5,7 @@
 use cleatpulley_exchange::{Answer, Arrival, Origin};
 use cleatpulley_policy::interface::Micros;
 use std::collections::BTreeSet;
+use std::rc::Rc;
 
 /// Requests that may be open on a connection.
 const OPEN: usize = 32;
@@ -49,13 +50,16 @@
     open: BTreeSet<u32>,
     /// Bytes of a frame that is passed over.
     skip: usize,
+    /// The field that keys stand in.
+    key_field: Option<Rc<str>>,
 }
 
 impl Connection {
-    /// One accepted now.
+    /// One accepted now; the keys of its requests stand in the field of this name, if any.
     #[must_use]
-    pub fn new(now: Micros) -> Self {
-        Self { status: Status::new(now), streams: Streams::default(), open: BTreeSet::new(), skip: 0 }
+    pub fn new(now: Micros, key_field: Option<Rc<str>>) -> Self {
+        let (status, streams, open) = (Status::new(now), Streams::default(), BTreeSet::new());
+        Self { status, streams, open, skip: 0, key_field }
     }
 
     /// Takes one frame; one too large comes without its payload.
@@ -84,7 +88,7 @@
                 self.fault(context, stream, "too many open requests", out);
             }
             codec::REQUEST => match payload.ok_or("the frame is too large".to_owned()) {
-                Ok(payload) => match arrival(payload, stream, context) {
+                Ok(payload) => match arrival(payload, stream, self.key_field.as_deref(), context) {
                     Ok(arrival) => {
                         self.open.insert(stream);
                         self.status.open += 1;
@@ -213,8 +217,13 @@
     }
 }
 
-fn arrival(payload: &[u8], stream: u32, context: &Context) -> Result<Arrival, String> {
-    let request = Request::decode(payload)?;
+fn arrival(
+    payload: &[u8],
+    stream: u32,
+    key_field: Option<&str>,
+    context: &Context,
+) -> Result<Arrival, String> {
+    let request = Request::decode(payload, key_field)?;
     let class = context.classes.iter().position(|name| name == request.verb);
     Ok(Arrival {
         origin: Origin { connection: context.number, stream },
@@ -226,7 +235,7 @@
         memory_kb: request.ram,
         rank: request.standing,
         has_subject: request.has_item,
-        key: None,
+        key: request.key.map(Box::from),
         body: request.body.to_vec(),
     })
 }
--- a/crates/results/src/lib.rs
+++ b/crates/results/src/lib.rs
@@ -1,11 +1,15 @@
-//! Kept results of keyed requests: a repeat gets the first answer, across crashes, and never runs again.
+//! Kept results of keyed requests: what a key's history permits, and where it is kept.
 //!
-//! [`history`] decides what a key's history permits; it has no I/O and no clock. [`record`] is what is written of a key.
-//! [`kept`] carries out what is decided on an embedded store.
+//! [`history`] decides, without I/O and clock; [`journal`] writes what it decides to an embedded store; [`table`] is the
+//! structure that finds entries by key and by age; [`fence`] and [`transfer`] move the keys of an owner from one store
+//! to another.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod fence;
 pub mod history;
-pub mod kept;
+pub mod journal;
 pub mod record;
+pub mod table;
+pub mod transfer;
--- a/crates/results/src/record.rs
+++ b/crates/results/src/record.rs
@@ -23,12 +23,24 @@
         &self.0
     }
 
-    /// Reads what the store has.
+    /// Reads what the store has; shorter ones are not keys of requests.
     #[must_use]
     pub fn from_bytes(bytes: &[u8]) -> Option<Self> {
         (bytes.len() >= 10).then(|| Self(Box::from(bytes)))
     }
 
+    /// Its class.
+    #[must_use]
+    pub fn class(&self) -> u16 {
+        self.0.get(8..).and_then(|rest| rest.first_chunk()).map_or(0, |bytes| u16::from_be_bytes(*bytes))
+    }
+
+    /// The key as its caller told it.
+    #[must_use]
+    pub fn told(&self) -> &[u8] {
+        self.0.get(10..).unwrap_or_default()
+    }
+
     /// Whose it is.
     #[must_use]
     pub fn owner(&self) -> u64 {
@@ -38,7 +50,7 @@
 
 impl fmt::Debug for ScopedKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}:{}", self.owner(), self.0.get(8..).unwrap_or_default().escape_ascii())
+        write!(f, "{}:{}:{}", self.owner(), self.class(), self.told().escape_ascii())
     }
 }
 
@@ -135,6 +147,7 @@
         assert_eq!(Record::decode(&[9; 17]), None);
         let key = ScopedKey::new(5, 2, b"k");
         assert_eq!(ScopedKey::from_bytes(key.bytes()), Some(key.clone()));
+        assert_eq!((key.class(), key.told()), (2, &b"k"[..]));
         assert_eq!((key.owner(), ScopedKey::from_bytes(b"short")), (5, None));
         assert_ne!(ScopedKey::new(5, 2, b"k"), ScopedKey::new(5, 3, b"k"));
         assert_ne!(digest(1, b"a"), digest(2, b"a"));
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod callers;
 pub mod directory;
 pub mod host;
+pub mod keyed;
 pub mod matcher;
 pub mod runtime;
 pub mod site;
--- a/crates/standin/src/trial.rs
+++ b/crates/standin/src/trial.rs
@@ -23,6 +23,8 @@
     pub connections: usize,
     /// Bytes of a body.
     pub body: usize,
+    /// The field of frames for keys, where each request brings one.
+    pub key_field: Option<String>,
 }
 
 /// A trial.
@@ -73,6 +75,10 @@
     pub cpu: u64,
     /// Latency of what was served, at the middle and at 99 of 100, in milliseconds, by front.
     pub latency_ms: Vec<(Front, f64, f64)>,
+    /// The same by class.
+    pub class_latency_ms: Vec<(Front, String, f64, f64)>,
+    /// The last lines of the matcher's log.
+    pub log: Vec<String>,
 }
 
 impl Trial {
@@ -104,6 +110,7 @@
                 callers: (2 * i as u64 + 1)..(2 * i as u64 + 3),
                 // What the rules allow on sockets beyond the slack.
                 slack: 110_000,
+                key_field: load.key_field.clone(),
                 random_gaps: true,
                 seed: self.site.seed.wrapping_mul(1_000).wrapping_add(i as u64),
             };
@@ -201,17 +208,23 @@
                 for (kind, tally) in callers.plan().kinds.iter().zip(&callers.tallies) {
                     report.tallies.push((front, kind.name.clone(), tally.clone()));
                 }
-                callers.latencies.sort_unstable();
-                let at = |share: f64| {
-                    let place = (callers.latencies.len() as f64 * share) as usize;
-                    callers.latencies.get(place).map_or(0.0, |us| *us as f64 / 1e3)
+                let at = |latencies: &[Micros], share: f64| {
+                    let place = (latencies.len() as f64 * share) as usize;
+                    latencies.get(place).map_or(0.0, |us| *us as f64 / 1e3)
                 };
-                report.latency_ms.push((front, at(0.5), at(0.99)));
+                callers.latencies.iter_mut().for_each(|latencies| latencies.sort_unstable());
+                for (kind, own) in callers.plan().kinds.iter().zip(&callers.latencies) {
+                    report.class_latency_ms.push((front, kind.name.clone(), at(own, 0.5), at(own, 0.99)));
+                }
+                let mut all = callers.latencies.concat();
+                all.sort_unstable();
+                report.latency_ms.push((front, at(&all, 0.5), at(&all, 0.99)));
             });
         }
         let (calls, most) = look(&self.site.store, |store| (store.seen.calls, store.seen.most));
         broken(u64::from(most > 5 * self.site.setup.store.slots), "store loaded past five times its slots");
         report.calls = (calls, most);
+        report.log = self.matcher.log();
         report
     }
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -107,6 +107,7 @@
             settings: self.settings,
             ajp: operator.ajp,
             store_speaks: operator.store,
+            results: operator.results,
         }
     }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -49,6 +49,9 @@
     /// Look at or mend an embedded store
     #[command(subcommand)]
     Keep(tools::keep::Keep),
+    /// Look at the kept results of keyed requests, or move them
+    #[command(subcommand)]
+    Results(tools::results::Results),
     /// Measure a part of the program beside what it is compared with; the last line says ok or what falls short
     #[command(subcommand)]
     Check(tools::bench::Check),
@@ -80,7 +83,11 @@
         let config = Config::load(&sources)?;
         let operator = match &self.operator {
             Some(file) => Operator::load(file, &config).map_err(|e| e.to_string())?,
-            None => Operator::default(),
+            None => {
+                let operator = Operator::default();
+                operator.covers(&config)?;
+                operator
+            }
         };
         Ok((config, operator, sources))
     }
@@ -114,6 +121,7 @@
         Command::Ajp(ask) => return tools::ajp::run(ask),
         Command::Check(check) => return tools::bench::run(&check),
         Command::Keep(keep) => return tools::keep::run(&keep),
+        Command::Results(results) => return tools::results::run(&results),
         Command::Demo => tools::demo::run()?,
         Command::Standin(args) => tools::standin::run(&args)?,
         Command::Serve(sourced) => {
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -1,8 +1,10 @@
 //! The operator file: what the platform's configuration does not know. A Jsonnet file with a section for each
 //! subsystem, all off unless they are there; read in this one place.
 
+mod results;
+
 use crate::config::Config;
-use cleatpulley_matcher::{store, AjpFront};
+use cleatpulley_matcher::{store, AjpFront, Results};
 use cleatpulley_policy::interface::{Effect, Micros};
 use cleatpulley_protocol::ajp::client;
 use cleatpulley_protocol::ajp::codec::{PACKET_SIZE, PACKET_SIZES};
@@ -56,6 +58,8 @@
     pub ajp: Option<AjpFront>,
     /// How the store is called.
     pub store: store::Speaks,
+    /// Kept results of keyed requests.
+    pub results: Option<Results>,
 }
 
 #[derive(Deserialize, Default)]
@@ -63,6 +67,7 @@
 struct File {
     ajp: Option<AjpSection>,
     store: Option<StoreSection>,
+    results: Option<results::ResultsSection>,
 }
 
 #[derive(Deserialize)]
@@ -169,6 +174,23 @@
         })
     }
 
+    /// Whether classes whose further tries have to be known have their results kept.
+    ///
+    /// # Errors
+    /// The key of the configuration that is not covered.
+    pub fn covers(&self, config: &Config) -> Result<(), String> {
+        for (i, class) in config.settings.classes.iter().enumerate() {
+            let kept = self.results.as_ref().is_some_and(|results| results.classes[i]);
+            if class.effect == Effect::Keyed && !kept {
+                return Err(format!(
+                    "settings.classes[{i}].effect: further tries can't be told without kept results of {:?}",
+                    config.class_names[i]
+                ));
+            }
+        }
+        Ok(())
+    }
+
     fn parse(json: &str, config: &Config) -> Result<Self, Wrong> {
         if !json.trim_start().starts_with('{') {
             return wrong("", "it comes to something else than an object of sections");
@@ -181,10 +203,15 @@
             let what = what.split(" at line ").next().unwrap_or_default().to_owned();
             (if key == "." { String::new() } else { key }, what)
         })?;
-        Ok(Self {
-            ajp: file.ajp.map(|section| section.check(config)).transpose()?,
+        let ajp = file.ajp.map(|section| section.check(config)).transpose()?;
+        let ajp_key = ajp.as_ref().is_some_and(|ajp| ajp.settings.figures.key.is_some());
+        let operator = Self {
+            ajp,
             store: file.store.map(StoreSection::check).transpose()?.unwrap_or_default(),
-        })
+            results: file.results.map(|section| section.check(config, ajp_key)).transpose()?,
+        };
+        operator.covers(config).map_err(|what| ("results".to_owned(), what))?;
+        Ok(operator)
     }
 }
 
@@ -453,6 +480,11 @@
             store::Speaks::Http => "HTTP",
             store::Speaks::Ajp(_) => "AJP",
         };
-        write!(f, "store: called over {speaks}")
+        write!(f, "store: called over {speaks}")?;
+        if let Some(results) = &self.results {
+            writeln!(f)?;
+            results::show(results, f)?;
+        }
+        Ok(())
     }
 }
--- a/src/tools/bench.rs
+++ b/src/tools/bench.rs
@@ -165,7 +165,8 @@
     println!("CPU a request, runtime that answers at once, {rate:.0} requests a second for {seconds} s:");
     let mut micros = Vec::new();
     for (front, connections) in [(Front::Frames, 32), (Front::Ajp, 32)] {
-        let load = Load { front, rates: vec![(seconds * SECOND, rate)], connections, body: 200 };
+        let load =
+            Load { front, rates: vec![(seconds * SECOND, rate)], connections, body: 200, key_field: None };
         let trial = Trial {
             site: instant(),
             loads: vec![load],
@@ -246,7 +247,8 @@
     let site = Setup { seed, ..Setup::default() };
     let half = site.capacity() / 2.0;
     let rates = vec![(2 * SECOND, 0.9 * half), (4 * SECOND, 1.6 * half), (9 * SECOND, 1.1 * half)];
-    let load = |front, connections| Load { front, rates: rates.clone(), connections, body: 200 };
+    let load =
+        |front, connections| Load { front, rates: rates.clone(), connections, body: 200, key_field: None };
     let loads = vec![load(Front::Frames, 8), load(Front::Ajp, 300)];
     Trial { site, loads, ajp: String::new(), outside: String::new(), leave_at: None }
 }
--- a/src/tools/demo.rs
+++ b/src/tools/demo.rs
@@ -22,7 +22,8 @@
     println!("Callers by frames and by AJP ask half of that for 6 s, twice that in a surge of 3 s, and half again.");
     let rate = |share: f64| capacity * share / 2.0;
     let rates = vec![(6 * SECOND, rate(0.5)), (9 * SECOND, rate(2.0)), (14 * SECOND, rate(0.5))];
-    let load = |front, connections| Load { front, rates: rates.clone(), connections, body: 200 };
+    let load =
+        |front, connections| Load { front, rates: rates.clone(), connections, body: 200, key_field: None };
     let loads = vec![load(Front::Frames, 8), load(Front::Ajp, 200)];
     let leave_at = Some(13 * SECOND);
     let trial = Trial { site, loads, ajp: String::new(), outside: String::new(), leave_at };
--- a/src/tools/mod.rs
+++ b/src/tools/mod.rs
@@ -4,4 +4,5 @@
 pub mod bench;
 pub mod demo;
 pub mod keep;
+pub mod results;
 pub mod standin;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -318,6 +318,7 @@
             caller: self.author,
             rank: self.rank,
             memory_kb: self.mem_kb,
+            keep: false,
         }
     }
 }
