Measure kept results, write their pages, and tell a restarted runtime by its age

Need: what keeping costs and withstands was not measured, and operators had no page.

A runtime counts as started again where it is younger by more than a second than it said before; recorded in tests/exchanges/runtime_again.txt.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The tasks of this repository; each is what its name says.
 CONFIG ?= $(GW_CONFIG)
 
-.PHONY: build test lint run demo check-ajp bench-ajp check-keep bench-keep
+.PHONY: build test lint run demo check-ajp bench-ajp check-keep bench-keep check-results bench-results
 build:
 	cargo build --locked --release
 
@@ -25,6 +25,10 @@
 check-ajp bench-ajp: build
 	target/release/cleatpulley check ajp
 
+# What kept results cost and withstand, on this disk; 1 where it falls short.
+check-results bench-results: build
+	target/release/cleatpulley check results
+
 # The embedded store beside redb and fjall on this disk; 1 where it falls short.
 check-keep bench-keep:
 	cargo build --locked --release -p cleatpulley-keep-bench
--- a/crates/matcher/src/runtime.rs
+++ b/crates/matcher/src/runtime.rs
@@ -18,6 +18,8 @@
 /// Lines read in one turn of the loop, so that a full link blocks nobody.
 const READ_AT_ONCE: usize = 262_144;
 
+/// A runtime that says to be younger than it said before by more than this was started again; less is a clock's whim.
+const YOUNGER: Micros = 1_000_000;
 /// Lines that the runtime may leave unread before no more gauges are asked for.
 const MOST_FLYING: usize = 4_096;
 
@@ -281,7 +283,7 @@
             "ready" => {
                 tracing::info!("runtime: {}, up for {} ms", notice.status, notice.time() / 1_000);
                 // One that is younger than it was is another process: what ran there is gone with the notices of it.
-                if std::mem::replace(&mut self.age, notice.time()) > notice.time() {
+                if std::mem::replace(&mut self.age, notice.time()) > notice.time() + YOUNGER {
                     tracing::warn!("runtime: it was started again; what ran there has no end");
                     self.last = 0;
                     self.doubtful.clear();
--- a/crates/standin/src/trial.rs
+++ b/crates/standin/src/trial.rs
@@ -137,7 +137,7 @@
                 going.leave();
             }
             let done = going.callers.iter().all(|callers| look(callers, |callers| callers.is_done()));
-            let left = going.left_at.is_none() || !going.matcher.is_alive();
+            let left = self.leave_at.is_none() || (going.left_at.is_some() && !going.matcher.is_alive());
             if now >= sends && ((done && left) || now >= sends + longest + 1_000_000) {
                 break;
             }
@@ -224,6 +224,10 @@
         let (calls, most) = look(&self.site.store, |store| (store.seen.calls, store.seen.most));
         broken(u64::from(most > 5 * self.site.setup.store.slots), "store loaded past five times its slots");
         report.calls = (calls, most);
+        if self.left_at.is_some() {
+            // What it said last may still be on its way here.
+            let _ = self.matcher.wait_for("left");
+        }
         report.log = self.matcher.log();
         report
     }
--- a/deploy/operator.jsonnet
+++ b/deploy/operator.jsonnet
@@ -1,6 +1,7 @@
 // The operator file of an installation with AJP callers. Nothing on kingston-match names it: all of it is off there.
-// See docs/operate/ajp.md; `cleatpulley check-config --operator deploy/operator.jsonnet` shows what it comes to.
+// See docs/operate/ajp.md and results.md; `cleatpulley check-config --operator deploy/operator.jsonnet` shows what it comes to.
 local ajp = import 'templates/ajp.libsonnet';
+local results = import 'templates/results.libsonnet';
 
 {
   ajp: ajp.front(['127.0.0.1:8009'], ['find-race', 'lobby-view', 'set-prefs', 'claim-seat']) + {
@@ -10,4 +11,5 @@
     classes: { 'claim-seat': { work_ms: 180 } },
   },
   store: { protocol: 'http' },
+  results: results.kept('/var/tmp/cleatpulley-n1', ['claim-seat']) + { frame_field: 'once' },
 }
--- a/src/tools/bench.rs
+++ b/src/tools/bench.rs
@@ -23,6 +23,8 @@
 pub enum Check {
     /// The AJP front: codec, CPU a request beside frames, memory a connection, a mixed load
     Ajp,
+    /// Kept results: the table, recovery, kills, keyed writes, service with keeping off and on
+    Results,
 }
 
 /// Measures, prints, and says whether the goals were met.
@@ -33,6 +35,7 @@
     let program = std::env::current_exe().map_err(|e| e.to_string())?;
     let (name, short) = match check {
         Check::Ajp => ("ajp", ajp(&program)?),
+        Check::Results => ("results", super::bench_results::run(&program)?),
     };
     for what in &short {
         println!("falls short: {what}");
--- a/src/tools/mod.rs
+++ b/src/tools/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod ajp;
 pub mod bench;
+pub mod bench_results;
 pub mod demo;
 pub mod keep;
 pub mod results;
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -406,6 +406,7 @@
     many_streams,
     reload,
     runtime_late,
+    runtime_again,
     runtime_link,
     runtime_oddities,
     serve,
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -38,18 +38,69 @@
     assert_eq!(front.settings.table.find(b"POST", b"/claim-seat"), Found::Class(3));
     assert_eq!(front.settings.defaults[3].work, 180_000);
     assert!(front.settings.defaults[3].needs_id && !front.settings.defaults[0].needs_id);
+    let results = operator.results.as_ref().expect("it is on");
+    assert_eq!(results.classes, [false, false, false, true]);
+    assert_eq!(results.bounds.window, 600_000_000);
     let empty = load("empty", "{}").expect("good");
     assert!(empty.ajp.is_none());
     assert_eq!(empty.to_string(), "ajp: off\nstore: called over HTTP");
 }
 
+/// A class whose further tries have to be known is refused, unless its results are kept and its key is asked for.
+#[test]
+fn a_deduplicated_class_takes_kept_results() {
+    let mut config = config();
+    config.settings.classes[3].effect = cleatpulley::interface::Effect::Keyed;
+    let bare = Operator::default().covers(&config).expect_err("nothing is kept");
+    assert!(bare.starts_with("settings.classes[3].effect: further tries"), "{bare}");
+    let file = std::env::temp_dir().join(format!("cleatpulley-{}-keyed.jsonnet", std::process::id()));
+    let text = |required| {
+        format!("{{ results: {{ folder: 'x', classes: ['claim-seat'], frame_field: 'k', required: {required} }} }}")
+    };
+    std::fs::write(&file, text(true)).expect("a file");
+    let kept = Operator::load(&file, &config).expect("good");
+    assert!(kept.covers(&config).is_ok());
+    std::fs::write(&file, text(false)).expect("a file");
+    let fault =
+        Operator::load(&file, &config).expect_err("a request without a key could not be told").to_string();
+    std::fs::remove_file(&file).expect("it is there");
+    assert!(fault.contains("results.required"), "{fault}");
+}
+
 #[test]
 fn faults_name_line_and_key() {
     let with = |rest: &str| {
         format!("{{\n  ajp: {{\n    listen: ['127.0.0.1:1'],\n    figures: {{ id: 'X-Id' }},\n    routes: [{{ path: '/a', class: 'find-race' }}],\n    {rest}\n  }},\n}}\n")
     };
+    let results = |rest: &str| format!("{{\n  results: {{ folder: 'x',\n    {rest}\n  }},\n}}\n");
     for (name, text, expected) in [
         ("syntax", "{\n  ajp: [1 2],\n}".to_owned(), ":2: "),
+        (
+            "safe",
+            results("classes: ['find-race'], frame_field: 'k'"),
+            ":3: results.classes[0]: \"find-race\" is safe",
+        ),
+        (
+            "window",
+            results("classes: ['claim-seat'], frame_field: 'k', window_ms: 10"),
+            ":3: results.window_ms: 10 is less than",
+        ),
+        ("nokey", results("classes: ['claim-seat']"), ":2: results.frame_field: no front brings keys"),
+        (
+            "field",
+            results("classes: ['claim-seat'], frame_field: 'txn'"),
+            ":3: results.frame_field: \"txn\" is empty, too long or taken",
+        ),
+        (
+            "owner",
+            results("classes: ['claim-seat'], frame_field: 'k', owner: 'x'"),
+            ":3: results.owner: \"x\" is neither",
+        ),
+        (
+            "stall",
+            results("classes: ['claim-seat'], frame_field: 'k', stall_ms: 0"),
+            ":3: results.stall_ms: 0 is not within",
+        ),
         ("array", "[1, 2]".to_owned(), ": it comes to something else than an object"),
         ("empty", String::new(), ":1: the file is empty"),
         ("undefined", "{\n\n  ajp: nothing,\n}".to_owned(), ":3: variable is not defined: nothing"),
