--- /dev/null
+++ b/crates/matcher/src/real.rs
@@ -0,0 +1,196 @@
+//! The real world: calloop's event loop, the system's sockets and clocks, and a thread that keeps results.
+
+use super::keeping::Keeping;
+use super::world::{Readiness, Stream, World};
+use super::{Node, Options, Party, Reload};
+use calloop::generic::Generic;
+use calloop::signals::{Signal, Signals};
+use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use cleatpulley_policy::interface::Micros;
+use socket2::{Domain, Protocol, Socket, Type};
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Access to the event loop.
+pub type Handle = LoopHandle<'static, Node<Real>>;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 1_024;
+
+/// One clock for all facts: microseconds of the Unix clock at the start, and monotonic from there on.
+#[derive(Debug, Clone, Copy)]
+struct Clock {
+    unix: Micros,
+    start: Instant,
+}
+
+impl Clock {
+    fn new() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |t| t.as_micros() as Micros);
+        Self { unix, start: Instant::now() }
+    }
+
+    fn now(&self) -> Micros {
+        self.unix + self.start.elapsed().as_micros() as Micros
+    }
+}
+
+/// The real world.
+#[derive(Clone)]
+pub struct Real {
+    handle: Handle,
+    clock: Clock,
+}
+
+/// A connection; it is watched for edges.
+pub struct Connection {
+    socket: Rc<TcpStream>,
+    handle: Handle,
+    token: RegistrationToken,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.handle.remove(self.token);
+    }
+}
+
+impl Stream for Connection {
+    fn read(&self, buffer: &mut [u8]) -> io::Result<usize> {
+        (&*self.socket).read(buffer)
+    }
+
+    fn write(&self, bytes: &[u8]) -> io::Result<usize> {
+        (&*self.socket).write(bytes)
+    }
+
+    fn finish(&self) {
+        // A peer that is gone already is no failure.
+        let _ = self.socket.shutdown(Shutdown::Write);
+    }
+
+    fn check(&self) -> io::Result<()> {
+        self.socket.take_error()?.map_or(Ok(()), Err)
+    }
+}
+
+/// A listening socket.
+pub struct Listener {
+    socket: Rc<TcpListener>,
+    handle: Handle,
+    token: RegistrationToken,
+}
+
+impl Drop for Listener {
+    fn drop(&mut self) {
+        self.handle.remove(self.token);
+    }
+}
+
+impl Real {
+    /// That of an event loop.
+    #[must_use]
+    pub fn new(handle: Handle) -> Self {
+        Self { handle, clock: Clock::new() }
+    }
+
+    fn watch(&self, socket: TcpStream, party: Party) -> io::Result<Connection> {
+        socket.set_nonblocking(true)?;
+        socket.set_nodelay(true)?;
+        let socket = Rc::new(socket);
+        let source = Generic::new(Rc::clone(&socket), Interest::BOTH, Mode::Edge);
+        let watched = self.handle.insert_source(source, move |seen, _, node| {
+            let readiness =
+                Readiness { readable: seen.readable || seen.error, writable: seen.writable || seen.error };
+            node.ready(party, readiness);
+            Ok(PostAction::Continue)
+        });
+        let token = watched.map_err(|e| io::Error::other(e.to_string()))?;
+        Ok(Connection { socket, handle: self.handle.clone(), token })
+    }
+}
+
+impl World for Real {
+    type Stream = Connection;
+    type Listener = Listener;
+    type Keeper = Keeping;
+
+    fn now(&self) -> Micros {
+        self.clock.now()
+    }
+
+    fn listen(&self, address: SocketAddr, place: usize) -> io::Result<(Listener, SocketAddr)> {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_reuse_address(true)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&address.into())?;
+        socket.listen(BACKLOG)?;
+        let socket = Rc::new(TcpListener::from(socket));
+        let address = socket.local_addr()?;
+        let source = Generic::new(Rc::clone(&socket), Interest::READ, Mode::Edge);
+        let watched = self.handle.insert_source(source, move |_, _, node| {
+            node.acceptable(place);
+            Ok(PostAction::Continue)
+        });
+        let token = watched.map_err(|e| io::Error::other(e.to_string()))?;
+        Ok((Listener { socket, handle: self.handle.clone(), token }, address))
+    }
+
+    fn accept(&self, listener: &Listener, party: Party) -> io::Result<(Connection, IpAddr)> {
+        let (socket, address) = listener.socket.accept()?;
+        let watched = self.watch(socket, party).map_err(|e| {
+            tracing::warn!("a connection can't be watched: {e}");
+            io::Error::from(ErrorKind::ConnectionAborted)
+        });
+        Ok((watched?, address.ip()))
+    }
+
+    fn connect(&self, to: SocketAddr, party: Party) -> io::Result<Connection> {
+        let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_nonblocking(true)?;
+        match socket.connect(&to.into()) {
+            Ok(()) => {}
+            Err(e) if e.raw_os_error() == Some(libc::EINPROGRESS) || e.kind() == ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+        }
+        self.watch(socket.into(), party)
+    }
+
+    fn keeper(&self, folder: PathBuf, seed: u64) -> io::Result<Keeping> {
+        Keeping::start(&self.handle, folder, seed)
+    }
+}
+
+/// Serves until the notice to leave has come and its time has passed. SIGHUP reads the configuration again.
+///
+/// # Errors
+/// When the event loop or a listening socket can't be had.
+pub fn serve(options: Options, reload: Reload) -> io::Result<()> {
+    let mut event_loop: EventLoop<'static, Node<Real>> = EventLoop::try_new().map_err(io::Error::other)?;
+    let handle = event_loop.handle();
+    let signals =
+        Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]).map_err(io::Error::other)?;
+    let heard = |event: calloop::signals::Event, (): &mut (), node: &mut Node<Real>| match event.signal() {
+        Signal::SIGHUP => node.reload(),
+        _ => node.leave(),
+    };
+    handle.insert_source(signals, heard).map_err(|e| io::Error::other(e.to_string()))?;
+    let mut node = Node::new(Real::new(handle), options, reload)?;
+    loop {
+        let next = node.turn();
+        if node.is_over() {
+            node.close();
+            tracing::info!("left");
+            return Ok(());
+        }
+        let wait = next.saturating_sub(node.now());
+        match event_loop.dispatch(Duration::from_micros(wait), &mut node) {
+            Err(calloop::Error::IoError(e)) if e.kind() != ErrorKind::Interrupted => return Err(e),
+            Err(calloop::Error::OtherError(e)) => return Err(io::Error::other(e.to_string())),
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/matcher/src/world.rs
@@ -0,0 +1,93 @@
+//! The seam to the world: all that a matcher asks of its host goes through these traits, and nothing of it knows which
+//! world it is in. `real` has the one of calloop and std; a simulator brings another.
+
+use super::Party;
+use cleatpulley_exchange::history::Effect;
+use cleatpulley_policy::interface::{Micros, RequestId};
+use cleatpulley_results::record::ScopedKey;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
+
+/// What was seen on a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Readiness {
+    /// It may be read from, also where it is over or broke.
+    pub readable: bool,
+    /// It may be written to, also where it broke.
+    pub writable: bool,
+}
+
+/// A connection, which ends when this is dropped. Nothing waits: what can't be done now is
+/// [`WouldBlock`](io::ErrorKind::WouldBlock), and the owner is told of its party's readiness later.
+pub trait Stream {
+    /// Reads some of what has come; 0 where the peer sends no more.
+    ///
+    /// # Errors
+    /// Those of the system.
+    fn read(&self, buffer: &mut [u8]) -> io::Result<usize>;
+
+    /// Writes some of it.
+    ///
+    /// # Errors
+    /// Those of the system.
+    fn write(&self, bytes: &[u8]) -> io::Result<usize>;
+
+    /// Sends no more; what the peer still sends can be read.
+    fn finish(&self);
+
+    /// The error that the connection holds, such as that of one that could not be made.
+    ///
+    /// # Errors
+    /// That error.
+    fn check(&self) -> io::Result<()>;
+}
+
+/// Keeps the results of keyed requests, and tells [`Node::kept`](super::Node::kept) of it.
+pub trait Keeper {
+    /// Writes what a history decided.
+    fn write(&self, effect: Effect);
+
+    /// Reads how a key ended.
+    fn recall(&self, now: Micros, id: RequestId, number: u64, key: ScopedKey);
+
+    /// Lets it write what it has and close the store, for a while.
+    fn stop(self);
+}
+
+/// A matcher's host.
+pub trait World: Clone + 'static {
+    /// A connection.
+    type Stream: Stream;
+    /// A listening socket; it listens until it is dropped.
+    type Listener;
+    /// A keeper.
+    type Keeper: Keeper;
+
+    /// Microseconds of the Unix clock at the start, and monotonic from there on.
+    fn now(&self) -> Micros;
+
+    /// Listens; the node is told of new connections by this number. Returns where that is.
+    ///
+    /// # Errors
+    /// Those of the system.
+    fn listen(&self, address: SocketAddr, place: usize) -> io::Result<(Self::Listener, SocketAddr)>;
+
+    /// Accepts a connection that waits, and says whose it is.
+    ///
+    /// # Errors
+    /// [`WouldBlock`](io::ErrorKind::WouldBlock) where none waits, and those of the system.
+    fn accept(&self, listener: &Self::Listener, party: Party) -> io::Result<(Self::Stream, IpAddr)>;
+
+    /// Begins to connect; the first readiness tells how that went.
+    ///
+    /// # Errors
+    /// Those of the system; a refusal may come at once.
+    fn connect(&self, to: SocketAddr, party: Party) -> io::Result<Self::Stream>;
+
+    /// Starts a keeper of results on a folder.
+    ///
+    /// # Errors
+    /// Those of the system.
+    fn keeper(&self, folder: PathBuf, seed: u64) -> io::Result<Self::Keeper>;
+}
