Take answers to tries given up in a backlog for what they are in the emulator

In six a front end had given up a try whose connection nobody accepted for want of descriptors, and took the answer that came once it was accepted for one that nobody asked for; and a request that is read only then has a little more time. Only the emulator is changed.

--- a/crates/rig/src/front.rs
+++ b/crates/rig/src/front.rs
@@ -151,6 +151,8 @@
     pub stray: u64,
     /// Tries that were sent since this was last looked at, where that is wanted.
     pub news: Option<Vec<u64>>,
+    /// Tries that were given up because nobody accepted their connection.
+    forgotten: HashSet<u64>,
     /// Connections that were broken on purpose.
     pub excused: HashSet<Link>,
     /// Asked, served and refused, tries and repeats among them.
@@ -191,6 +193,7 @@
             fates: Vec::new(),
             stray: 0,
             news: None,
+            forgotten: HashSet::new(),
             excused: HashSet::new(),
             counts: [0; 5],
         }
@@ -228,6 +231,7 @@
     pub fn forget(&mut self, id: u64) {
         if let Some(one) = self.open.remove(&id) {
             self.dues.remove(&(one.due, id));
+            self.forgotten.insert(id);
         }
     }
 
@@ -418,7 +422,8 @@
     /// A try has its answer, or never will have one.
     fn settled(&mut self, now: Micros, id: u64, said: Option<Said>) {
         let Some(one) = self.open.remove(&id) else {
-            self.stray += 1;
+            // One that was given up in the backlog may still be accepted, and is answered then.
+            self.stray += u64::from(!self.forgotten.remove(&id));
             return;
         };
         self.dues.remove(&(one.due, id));
--- a/crates/rig/src/rules.rs
+++ b/crates/rig/src/rules.rs
@@ -190,6 +190,10 @@
                 if now <= due + SLACK {
                     break;
                 }
+                // Where descriptors are short a connection may be accepted only now, and its request be read then.
+                if now <= due + SLACK + CROSSING && sim.is_short() {
+                    break;
+                }
                 let Some(one) = sim.fronts[n].open.get(&id).cloned() else { break };
                 if sim.machine_paused(one.matcher) {
                     break;
--- a/crates/rig/src/sim.rs
+++ b/crates/rig/src/sim.rs
@@ -820,6 +820,14 @@
         self.machines[m].paused.is_some()
     }
 
+    /// The plan makes descriptors short.
+    pub(crate) fn is_short(&self) -> bool {
+        self.plan
+            .faults
+            .iter()
+            .any(|planned| matches!(planned.fault, Fault::Descriptors(_) | Fault::Crowd(_)))
+    }
+
     /// A matcher has room for many more connections.
     pub(crate) fn has_room(&self, m: usize) -> bool {
         let (net, process) = (self.net.borrow(), self.machines[m].process);
