Read a front end's answers by one piece in stand-ins and emulator

Seen: the loop over answer frames stood three times. One function in the stand-ins' callers serves all three; nothing else is changed.

--- a/crates/rig/src/front.rs
+++ b/crates/rig/src/front.rs
@@ -4,8 +4,7 @@
 use cleatpulley_policy::interface::Micros;
 use cleatpulley_protocol::ajp::client::{Client, Options, Request};
 use cleatpulley_protocol::ajp::codec::PACKET_SIZE;
-use cleatpulley_protocol::frame::codec::{self, Parsed};
-use cleatpulley_standin::callers::{request_frame, said, said_by_ajp, Kind, Said};
+use cleatpulley_standin::callers::{read_answers, request_frame, said_by_ajp, Kind, Said};
 use cleatpulley_standin::{Effect, Link, Service};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -501,22 +500,8 @@
     fn frames_came(&mut self, now: Micros, link: Link, bytes: &[u8], out: &mut Vec<Effect>) {
         let Some(line) = self.lines.get_mut(&link) else { return };
         line.input.extend_from_slice(bytes);
-        let input = std::mem::take(&mut line.input);
-        let (mut used, mut answers) = (0, Vec::new());
-        while let Parsed::Frame { kind, stream, payload } = codec::parse(&input[used..]) {
-            let end = payload.end;
-            let payload = &input[used..][payload];
-            used += end;
-            match kind {
-                codec::ANSWER => match line.open.remove(&stream) {
-                    Some(id) => answers.push((id, said(payload))),
-                    None => self.stray += 1,
-                },
-                codec::GOODBYE => line.gone = true,
-                _ => self.stray += 1,
-            }
-        }
-        line.input = input[used..].to_vec();
+        let (answers, stray) = read_answers(&mut line.input, &mut line.open, &mut line.gone);
+        self.stray += stray;
         if line.gone && line.open.is_empty() {
             self.lines.remove(&link);
             out.push(Effect::Close(link));
--- a/crates/standin/src/callers.rs
+++ b/crates/standin/src/callers.rs
@@ -406,23 +406,8 @@
     fn frames_came(&mut self, now: Micros, link: Link, bytes: &[u8], out: &mut Vec<Effect>) {
         let Some(line) = self.frames.get_mut(&link) else { return };
         line.input.extend_from_slice(bytes);
-        let input = std::mem::take(&mut line.input);
-        let mut used = 0;
-        let mut answers = Vec::new();
-        while let Parsed::Frame { kind, stream, payload } = codec::parse(&input[used..]) {
-            let end = payload.end;
-            let payload = &input[used..][payload];
-            used += end;
-            match kind {
-                codec::ANSWER => match line.open.remove(&stream) {
-                    Some(asked) => answers.push((asked, said(payload))),
-                    None => self.stray += 1,
-                },
-                codec::GOODBYE => line.gone = true,
-                _ => self.stray += 1,
-            }
-        }
-        line.input = input[used..].to_vec();
+        let (answers, stray) = read_answers(&mut line.input, &mut line.open, &mut line.gone);
+        self.stray += stray;
         if line.gone && line.open.is_empty() {
             self.frames.remove(&link);
             out.push(Effect::Close(link));
@@ -512,6 +497,31 @@
     frame
 }
 
+/// Takes whole frames from the front of what a front end's connection has read: the answers to what is open on it, and
+/// how many belong to nothing. It notes the word that no new request may come.
+pub fn read_answers<T>(
+    input: &mut Vec<u8>,
+    open: &mut BTreeMap<u32, T>,
+    gone: &mut bool,
+) -> (Vec<(T, Option<Said>)>, u64) {
+    let (mut used, mut answers, mut stray) = (0, Vec::new(), 0);
+    while let Parsed::Frame { kind, stream, payload } = codec::parse(&input[used..]) {
+        let end = payload.end;
+        let payload = &input[used..][payload];
+        used += end;
+        match kind {
+            codec::ANSWER => match open.remove(&stream) {
+                Some(asked) => answers.push((asked, said(payload))),
+                None => stray += 1,
+            },
+            codec::GOODBYE => *gone = true,
+            _ => stray += 1,
+        }
+    }
+    input.drain(..used);
+    (answers, stray)
+}
+
 /// Reads the payload of an answer frame.
 #[must_use]
 pub fn said(payload: &[u8]) -> Option<Said> {
--- a/crates/standin/src/keyed.rs
+++ b/crates/standin/src/keyed.rs
@@ -1,14 +1,13 @@
 //! Callers that send the same keyed request again and again, without limit, while the matcher is killed and started
 //! again; and the judgement of what became of each key, from the books of the runtime and of these callers alone.
 
-use crate::callers::{request_frame, said, Said};
+use crate::callers::{read_answers, request_frame, Said};
 use crate::host::{look, shared, Host};
 use crate::matcher::Matcher;
 use crate::runtime::result_of;
 use crate::site::{Class, Setup, Site};
 use crate::{Effect, Link, Service};
 use cleatpulley_policy::interface::Micros;
-use cleatpulley_protocol::frame::codec::{self, Parsed};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, HashMap};
@@ -261,22 +260,7 @@
     fn received(&mut self, now: Micros, link: Link, bytes: &[u8], out: &mut Vec<Effect>) {
         let Some(line) = self.lines.get_mut(&link) else { return };
         line.input.extend_from_slice(bytes);
-        let input = std::mem::take(&mut line.input);
-        let (mut used, mut answers, mut stray) = (0, Vec::new(), 0);
-        while let Parsed::Frame { kind, stream, payload } = codec::parse(&input[used..]) {
-            let end = payload.end;
-            let payload = &input[used..][payload];
-            used += end;
-            match kind {
-                codec::ANSWER => match line.open.remove(&stream) {
-                    Some(asked) => answers.push((asked, said(payload))),
-                    None => stray += 1,
-                },
-                codec::GOODBYE => line.gone = true,
-                _ => stray += 1,
-            }
-        }
-        line.input = input[used..].to_vec();
+        let (answers, stray) = read_answers(&mut line.input, &mut line.open, &mut line.gone);
         if line.gone && line.open.is_empty() {
             self.lines.remove(&link);
             out.push(Effect::Close(link));
