Answer operators at mgmt: /_ready and /_vars beside the clients

An adapter of its own on the event loop, served before the clients, with 16 places that no client can take; counts by class live in the exchange, and the fleet's daemon and /_vars read them there.

--- a/crates/exchange/src/keyed.rs
+++ b/crates/exchange/src/keyed.rs
@@ -327,6 +327,7 @@
                     KeyEffect::Start(id) => {
                         let Some(entry) = self.entries.get_mut(&id) else { continue };
                         entry.stage = Stage::Running;
+                        self.counts.relayed(entry.class);
                         let body = std::mem::take(&mut entry.body);
                         commands.push(Command::Start { id, class: entry.class, body });
                     }
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -19,10 +19,12 @@
 
 pub use cleatpulley_results::history;
 
+mod counts;
 mod keyed;
 
 use keyed::Meeting;
 
+pub use counts::{Counts, Tally};
 pub use keyed::{Keys, Owner};
 
 /// Gauges are asked for so long before a timer, that they are there and fresh when it fires.
@@ -354,6 +356,7 @@
     key_effects: Vec<KeyEffect>,
     /// What the controller was last told of the table.
     told_kept: (usize, bool),
+    counts: Counts,
 }
 
 impl Exchange {
@@ -364,6 +367,7 @@
         let settings = Settings { fresh: 0, ..settings };
         Self {
             controller: Controller::new(settings.clone(), seed),
+            counts: Counts::new(settings.classes.len()),
             settings,
             started: false,
             entries: HashMap::new(),
@@ -396,6 +400,12 @@
         self.entries.len()
     }
 
+    /// What became of requests since the start, by class.
+    #[must_use]
+    pub fn counts(&self) -> &Counts {
+        &self.counts
+    }
+
     /// Requests that still owe an answer.
     #[must_use]
     pub fn unanswered(&self) -> usize {
@@ -588,6 +598,7 @@
         // Ids are new with every try: one that is open already may run, and must not run again.
         let runs = self.keys.as_ref().is_some_and(|keys| keys.history.is_run(id));
         if runs || self.entries.contains_key(&id) {
+            self.counts.answered(class, &Answer::Failed);
             commands.push(Command::Answer { to: origin, answer: Answer::Failed });
             return;
         }
@@ -634,6 +645,7 @@
         match meeting {
             Meeting::Decide => self.events.push(Event::Arrived(request)),
             Meeting::Answer(answer) => {
+                self.counts.answered(class, &answer);
                 commands.push(Command::Answer { to: origin, answer });
                 return;
             }
@@ -761,6 +773,7 @@
                 entry.stage = Stage::Running;
                 let safe = self.settings.classes[entry.class].effect == Effect::Safe;
                 let body = if safe { entry.body.clone() } else { std::mem::take(&mut entry.body) };
+                self.counts.relayed(entry.class);
                 commands.push(Command::Start { id, class: entry.class, body });
             }
             Action::Refuse { id, avoid_for, last } => {
@@ -811,6 +824,7 @@
     /// Answers a request unless it was answered before; tells whether it did.
     fn answer(&mut self, now: Micros, id: RequestId, answer: Answer, commands: &mut Vec<Command>) -> bool {
         let Some(entry) = self.entries.get(&id).filter(|entry| !entry.answered) else { return false };
+        self.counts.answered(entry.class, &answer);
         commands.push(Command::Answer { to: entry.origin, answer });
         self.over(now, id, commands);
         true
--- a/crates/matcher/src/lib.rs
+++ b/crates/matcher/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod directory;
 pub mod front;
 pub mod keeping;
+pub mod operators;
 pub mod real;
 pub mod report;
 pub mod runtime;
@@ -16,11 +17,11 @@
 pub use real::serve;
 
 use cleatpulley_exchange::history::{Bounds, History};
-use cleatpulley_exchange::{Answer, Command, Exchange, Fact, Keys, Owner};
+use cleatpulley_exchange::{Command, Exchange, Fact, Keys, Owner};
 use cleatpulley_policy::interface::Micros;
 use cleatpulley_policy::interface::Settings;
 use cleatpulley_policy::plant::{planted, Bug};
-use cleatpulley_protocol::ajp;
+use cleatpulley_protocol::{ajp, mgmt};
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
@@ -48,6 +49,8 @@
     Store(u64),
     /// The directory.
     Directory,
+    /// A caller at the operators' address, by the number of its connection.
+    Operator(u64),
     /// A target of a gateway, by the number of the connection.
     Target(u64),
 }
@@ -102,6 +105,8 @@
     pub listen: SocketAddr,
     /// Other processes accept there too, and go on when this one leaves.
     pub shares_listener: bool,
+    /// Where operators ask how the process is, if anywhere.
+    pub mgmt: Option<SocketAddr>,
     /// Where the other parties are.
     pub parties: Parties,
     /// For random numbers.
@@ -151,6 +156,8 @@
     stop: Micros,
     exchange: Exchange,
     front: front::Front<W>,
+    operators: Option<operators::Operators<W>>,
+    class_names: Vec<String>,
     runtime: runtime::Runtime<W>,
     store: store::Store<W>,
     directory: directory::Directory<W>,
@@ -160,8 +167,6 @@
     /// When the process is stopped, once the notice to leave has come.
     stop_at: Option<Micros>,
     shares_listener: bool,
-    /// Answers so far.
-    answered: report::Status,
     /// When the runtime came up, as it last said.
     up_since: Option<Micros>,
     /// The speed of a cold runtime, as a share, and when it is warm.
@@ -175,7 +180,8 @@
     /// When a listening socket or a keeper can't be had.
     pub fn new(world: W, options: Options, reload: Reload) -> io::Result<Self> {
         let calls = (options.sockets / STORE_SHARE).clamp(*STORE.start(), *STORE.end());
-        let most = options.sockets.saturating_sub(SPARE + calls).max(1);
+        let asked = options.mgmt.map_or(0, |_| operators::PLACES + 1);
+        let most = options.sockets.saturating_sub(SPARE + calls + asked).max(1);
         let mut front = front::Front::new(world.clone(), options.class_names.clone(), most);
         let mut listen = |address, speaks| {
             let listened = front.listen(address, speaks);
@@ -194,6 +200,8 @@
                 tracing::info!("{} speaks AJP on {address}", options.name);
             }
         }
+        let operators =
+            options.mgmt.map(|address| operators::Operators::listen(world.clone(), address)).transpose()?;
         let warming = (options.settings.cold_speed, options.settings.warm_after);
         let (exchange, keeper) = match options.results {
             None => (Exchange::new(options.settings, options.seed), None),
@@ -212,6 +220,8 @@
             stop: options.stop,
             exchange,
             front,
+            operators,
+            class_names: classes.clone(),
             runtime: runtime::Runtime::new(world.clone(), runtime, classes, gauges),
             store: store::Store::new(world.clone(), store, options.store_speaks, calls),
             directory: directory::Directory::new(world.clone(), lookup, &options.name),
@@ -220,7 +230,6 @@
             commands: Vec::new(),
             stop_at: None,
             shares_listener: options.shares_listener,
-            answered: report::Status::default(),
             up_since: None,
             warming,
             world,
@@ -238,6 +247,7 @@
     pub fn census(&self) -> Census {
         let (listeners, connections, open) = self.front.census();
         let (calls, pool) = self.store.census();
+        let asked = self.operators.as_ref().map_or(0, |operators| operators.connections() + 1);
         let links = usize::from(self.runtime.linked()) + usize::from(self.directory.linked());
         Census {
             requests: self.exchange.requests(),
@@ -245,7 +255,7 @@
             intents: self.exchange.history().map_or(0, |history| history.runs()),
             open,
             calls,
-            descriptors: listeners + connections + pool + links,
+            descriptors: listeners + connections + pool + links + asked,
         }
     }
 
@@ -263,6 +273,11 @@
             Party::Runtime => self.runtime.note(readiness),
             Party::Store(number) => self.store.note(number, readiness),
             Party::Directory => self.directory.note(readiness),
+            Party::Operator(number) => {
+                if let Some(operators) = &mut self.operators {
+                    operators.note(number, readiness);
+                }
+            }
             Party::Target(_) => {}
         }
     }
@@ -274,7 +289,10 @@
 
     /// The event loop saw new connections.
     pub fn acceptable(&mut self, listener: usize) {
-        self.front.note_listener(listener);
+        match &mut self.operators {
+            Some(operators) if listener == operators::PLACE => operators.note_listener(),
+            _ => self.front.note_listener(listener),
+        }
     }
 
     /// The notice to leave; only the first counts.
@@ -327,7 +345,9 @@
         if self.stop_at.is_some_and(|at| now + FAREWELL >= at) {
             self.front.part(now);
         }
-        let mut more = self.front.turn(now, &mut self.facts);
+        // First: what staff see may not depend on how many clients there are.
+        let mut more = self.answer_operators(now);
+        more |= self.front.turn(now, &mut self.facts);
         more |= self.runtime.turn(now, &mut self.facts);
         self.store.turn(now, &mut self.facts);
         for fact in self.facts.drain(..) {
@@ -347,21 +367,23 @@
         if more || !self.facts.is_empty() {
             return 0;
         }
-        let next = [self.exchange.next(), self.runtime.next(), self.store.next(), self.stop_at];
+        let asked = self.operators.as_ref().and_then(operators::Operators::next);
+        let next = [self.exchange.next(), self.runtime.next(), self.store.next(), self.stop_at, asked];
         let next = next.into_iter().flatten().chain([self.front.next(), self.directory.next()]).min();
         next.unwrap_or(0)
     }
 
-    fn count(&mut self, answer: &Answer) {
-        let number = match answer {
-            Answer::Served(_) => &mut self.answered.served,
-            Answer::Refused { .. } => &mut self.answered.refused,
-            Answer::Failed => &mut self.answered.failed,
-            Answer::Expired => &mut self.answered.late,
-            // Its caller is at fault, and no server could answer otherwise.
-            Answer::Rejected(_) | Answer::Returned { .. } => return,
-        };
-        *number += 1;
+    fn answer_operators(&mut self, now: Micros) -> bool {
+        let Some(mut operators) = self.operators.take() else { return false };
+        let more = operators.turn(now, &*self);
+        self.operators = Some(operators);
+        more
+    }
+
+    /// Whether it takes clients: without its runtime it serves nothing.
+    #[must_use]
+    pub fn takes_clients(&self) -> bool {
+        self.runtime.up() && self.stop_at.is_none()
     }
 
     /// How it is, for a fleet's daemon.
@@ -372,21 +394,23 @@
             let age = self.now().saturating_sub(since) as f64 / warm_after.max(1) as f64;
             (cold + (1.0 - cold) * age).clamp(0.0, 1.0)
         };
+        let total = self.exchange.counts().total();
         report::Status {
             // Without its runtime it serves nothing.
             warmth: self.up_since.filter(|_| self.runtime.up()).map_or(0.0, warmth),
             held: self.exchange.unanswered(),
             drains: self.stop_at.is_some(),
-            ..self.answered
+            served: total.served,
+            late: total.late,
+            refused: total.refused,
+            // Where the caller itself was at fault, no server could answer otherwise.
+            failed: total.failed - total.late - total.rejected,
         }
     }
 
     fn carry_out(&mut self, now: Micros, command: Command) {
         match command {
-            Command::Answer { to, answer } => {
-                self.count(&answer);
-                self.front.answer(now, to, &answer);
-            }
+            Command::Answer { to, answer } => self.front.answer(now, to, &answer),
             Command::Start { id, class, body } => self.runtime.start(id, class, &body),
             Command::Give { id, body } => self.runtime.give(id, &body),
             Command::Omit { id, notice } => self.runtime.omit(id, notice),
@@ -412,3 +436,13 @@
         }
     }
 }
+
+impl<W: World> mgmt::Answers for Node<W> {
+    fn ready(&self) -> bool {
+        self.takes_clients()
+    }
+
+    fn vars(&self) -> Vec<u8> {
+        report::vars(&self.class_names, self.exchange.counts(), self.exchange.unanswered())
+    }
+}
--- a/crates/matcher/src/report.rs
+++ b/crates/matcher/src/report.rs
@@ -1,8 +1,10 @@
 //! The link to a fleet's daemon on the same host: how the matcher is, a line at a time. It decides nothing by it, and a
 //! daemon that is away or slow costs it nothing.
 
+use cleatpulley_exchange::{Counts, Tally};
 use rustix::net::{sendmsg, SendAncillaryBuffer, SendAncillaryMessage, SendFlags};
 use serde::Serialize;
+use serde_json::{json, Map};
 use socket2::{Domain, SockAddr, Socket, Type};
 use std::io::{self, IoSlice, Write};
 use std::mem::MaybeUninit;
@@ -29,6 +31,29 @@
     pub drains: bool,
 }
 
+/// The figures that operators are told, as JSON.
+#[must_use]
+pub fn vars(names: &[String], counts: &Counts, open: usize) -> Vec<u8> {
+    let operation = |tally: &Tally| {
+        json!({
+            "fulfilled": tally.served,
+            "throttled": tally.refused,
+            "faulted": tally.failed,
+            "relayed": tally.relayed,
+        })
+    };
+    let operations: Map<_, _> =
+        names.iter().zip(counts.classes()).map(|(name, tally)| (name.clone(), operation(tally))).collect();
+    let bytes = json!({
+        "operations": operations,
+        "open_requests": open,
+        "relayed": counts.total().relayed,
+    });
+    let mut bytes = bytes.to_string().into_bytes();
+    bytes.push(b'\n');
+    bytes
+}
+
 /// Where a fleet's daemon listens, and who tells it.
 #[derive(Debug, Clone)]
 pub struct FleetLink {
--- a/crates/policy/src/plant.rs
+++ b/crates/policy/src/plant.rs
@@ -39,11 +39,13 @@
     QueueLost,
     /// A key that has ended is dropped inside its window.
     EntryDropped,
+    /// Silent callers at the operators' address keep their places.
+    OperatorsStarved,
 }
 
 impl Bug {
     /// All of them.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 17] = [
         Self::AnswerTwice,
         Self::PlaceLeaked,
         Self::DueLate,
@@ -60,6 +62,7 @@
         Self::EntryLeaked,
         Self::QueueLost,
         Self::EntryDropped,
+        Self::OperatorsStarved,
     ];
 }
 
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,5 +1,5 @@
 //! Codecs and connection state machines: frames and AJP on the client side, the runtime's lines, and the HTTP that
-//! is spoken with store and directory. Bytes and time in; requests, bytes and a deadline out; no sockets.
+//! is spoken with store, directory and operators. Bytes and time in; requests, bytes and a deadline out; no sockets.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -9,3 +9,4 @@
 pub mod http;
 pub mod line;
 pub mod machine;
+pub mod mgmt;
--- a/crates/rig/src/host.rs
+++ b/crates/rig/src/host.rs
@@ -61,6 +61,7 @@
             Self::Node(node, Party::Store(number)) => (2, node, number),
             Self::Node(node, Party::Directory) => (3, node, 0),
             Self::Node(node, Party::Target(number)) => (5, node, number),
+            Self::Node(node, Party::Operator(number)) => (6, node, number),
             Self::Service(service, link) => (4, service, link),
         };
         kind << 56 | (index as u64) << 48 | number & NUMBER
@@ -76,6 +77,7 @@
             2 => Self::Node(index, Party::Store(number)),
             3 => Self::Node(index, Party::Directory),
             5 => Self::Node(index, Party::Target(number)),
+            6 => Self::Node(index, Party::Operator(number)),
             _ => Self::Service(index, number),
         }
     }
--- a/crates/rig/src/sim.rs
+++ b/crates/rig/src/sim.rs
@@ -311,6 +311,7 @@
         Options {
             name: format!("m{m}"),
             listen: machine.frames,
+            mgmt: None,
             shares_listener: false,
             parties: *machine.parties.borrow(),
             seed: self.plan.seed ^ machine.life.rotate_left(32) ^ m as u64,
--- a/crates/standin/src/matcher.rs
+++ b/crates/standin/src/matcher.rs
@@ -2,8 +2,8 @@
 
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::Value;
-use std::io::{self, BufRead, BufReader};
-use std::net::SocketAddr;
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -21,6 +21,8 @@
     pub frames: SocketAddr,
     /// Where it listens for AJP, if it does.
     pub ajp: Option<SocketAddr>,
+    /// Where it answers operators, if it does.
+    pub mgmt: Option<SocketAddr>,
 }
 
 impl Drop for Matcher {
@@ -60,6 +62,9 @@
         if operator.is_some_and(|text| text.contains("ajp:")) {
             matcher.ajp = Some(matcher.wait_for_address("speaks AJP on ")?);
         }
+        if config.get("mgmt").is_some() {
+            matcher.mgmt = Some(matcher.wait_for_address("operators are answered on ")?);
+        }
         matcher.wait_for("runtime: running")?;
         Ok(matcher)
     }
@@ -95,7 +100,7 @@
     }
 
     fn spawn(mut command: Command, folder: PathBuf) -> io::Result<Self> {
-        for variable in ["GW_CONFIG", "GW_NAME", "GW_LISTEN"] {
+        for variable in ["GW_CONFIG", "GW_NAME", "GW_LISTEN", "GW_MGMT"] {
             command.env_remove(variable);
         }
         let mut child = command.stdin(Stdio::null()).stderr(Stdio::piped()).spawn()?;
@@ -108,7 +113,7 @@
                 }
             });
         }
-        Ok(Self { child, folder, log, frames: ([127, 0, 0, 1], 0).into(), ajp: None })
+        Ok(Self { child, folder, log, frames: ([127, 0, 0, 1], 0).into(), ajp: None, mgmt: None })
     }
 
     /// Its log so far.
@@ -168,6 +173,21 @@
         }
     }
 
+    /// Asks at the operators' address: the status and the body.
+    ///
+    /// # Errors
+    /// Where it answers nobody there, or not whole.
+    pub fn ask(&self, path: &str) -> io::Result<(u16, Vec<u8>)> {
+        let at = self.mgmt.ok_or_else(|| io::Error::other("it answers no operators"))?;
+        let mut stream = TcpStream::connect(at)?;
+        stream.set_read_timeout(Some(PATIENCE))?;
+        stream.write_all(format!("GET {path} HTTP/1.1\r\nHost: {at}\r\n\r\n").as_bytes())?;
+        let mut bytes = Vec::new();
+        stream.read_to_end(&mut bytes)?;
+        let reply = cleatpulley_protocol::http::parse(&bytes, true).map_err(io::Error::other)?;
+        reply.map(|reply| (reply.status, reply.body)).ok_or_else(|| io::Error::other("no whole answer"))
+    }
+
     /// It still runs.
     pub fn is_alive(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -210,7 +210,7 @@
         let store_at = host.listen(local(setup.ports[1]), store.clone())?;
         let lookup_at = host.listen(local(setup.ports[2]), directory.clone())?;
         let config = json!({
-            "name": "n1", "listen": "127.0.0.1:0", "seed": format!("{:x}", setup.seed),
+            "name": "n1", "listen": "127.0.0.1:0", "mgmt": "127.0.0.1:0", "seed": format!("{:x}", setup.seed),
             "runtime": runtime_at.to_string(), "store": store_at.to_string(), "lookup": lookup_at.to_string(),
             "stop_ms": setup.stop / MS,
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": setup.sockets},
--- a/src/config.rs
+++ b/src/config.rs
@@ -23,6 +23,8 @@
     pub name: Option<String>,
     /// `--listen` or `GW_LISTEN`.
     pub listen: Option<String>,
+    /// `--mgmt` or `GW_MGMT`.
+    pub mgmt: Option<String>,
 }
 
 impl Sources {
@@ -33,6 +35,7 @@
             file: self.file.or_else(|| get("GW_CONFIG").map(PathBuf::from)),
             name: self.name.or_else(|| get("GW_NAME")),
             listen: self.listen.or_else(|| get("GW_LISTEN")),
+            mgmt: self.mgmt.or_else(|| get("GW_MGMT")),
         }
     }
 }
@@ -44,6 +47,8 @@
     pub name: String,
     /// Where front ends connect.
     pub listen: SocketAddr,
+    /// Where operators ask how it is, if anywhere.
+    pub mgmt: Option<SocketAddr>,
     /// Where the runtime is.
     pub runtime: SocketAddr,
     /// Where the directory is.
@@ -68,6 +73,7 @@
 struct File {
     name: Option<String>,
     listen: Option<String>,
+    mgmt: Option<String>,
     runtime: String,
     lookup: String,
     store: String,
@@ -99,6 +105,7 @@
             parties: self.parties(),
             name: self.name,
             listen: self.listen,
+            mgmt: self.mgmt,
             shares_listener: false,
             seed: self.seed,
             stop: self.stop,
@@ -161,6 +168,12 @@
         }
         Ok(Self {
             listen: address("listen", sources.listen.as_ref().or(file.listen.as_ref()))?,
+            mgmt: sources
+                .mgmt
+                .as_ref()
+                .or(file.mgmt.as_ref())
+                .map(|text| address("mgmt", Some(text)))
+                .transpose()?,
             runtime: address("runtime", Some(&file.runtime))?,
             lookup: address("lookup", Some(&file.lookup))?,
             store: address("store", Some(&file.store))?,
--- a/src/main.rs
+++ b/src/main.rs
@@ -137,6 +137,9 @@
     /// Where front ends connect [env: GW_LISTEN]
     #[arg(long, value_name = "ADDR")]
     listen: Option<String>,
+    /// Where operators ask how the process is: GET /_ready and /_vars [env: GW_MGMT]
+    #[arg(long, value_name = "ADDR")]
+    mgmt: Option<String>,
     /// The operator file, a Jsonnet template; without one nothing beyond the platform's protocol is on
     #[arg(long, value_name = "FILE")]
     operator: Option<PathBuf>,
@@ -144,7 +147,7 @@
 
 impl Sourced {
     fn load(self) -> Result<(Config, Operator, Sources), String> {
-        let sources = Sources { file: self.config, name: self.name, listen: self.listen };
+        let sources = Sources { file: self.config, name: self.name, listen: self.listen, mgmt: self.mgmt };
         let sources = sources.or_environment(|key| std::env::var(key).ok());
         let config = Config::load(&sources)?;
         let operator = match &self.operator {
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -102,3 +102,14 @@
     assert_eq!(run(&["version"]).0, Some(0));
     assert!(run(&["--help"]).1.contains("check-config"));
 }
+
+#[test]
+fn the_operators_address_is_read_where_there_is_one() {
+    assert_eq!(parse(&good(), &Sources::default()).expect("good").mgmt, None);
+    let mut file = good();
+    file["mgmt"] = json!("127.0.0.1:12000");
+    assert_eq!(parse(&file, &Sources::default()).expect("good").mgmt, "127.0.0.1:12000".parse().ok());
+    let variables = Sources::default().or_environment(|key| (key == "GW_MGMT").then(|| "::1".to_owned()));
+    let fault = parse(&file, &variables).expect_err("no port");
+    assert!(fault.starts_with("mgmt: \"::1\" is not an address and port"), "{fault}");
+}
