--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -162,6 +162,20 @@
         /// When the process is stopped.
         stop_at: Micros,
     },
+    /// The process is to be stopped, and another has taken its place.
+    Succeeded {
+        /// When it is stopped.
+        stop_at: Micros,
+    },
+    /// What another process, which this one takes the place of, still has of the machine.
+    Beside {
+        /// Its requests on the cores.
+        running: usize,
+        /// Memory booked for its requests.
+        memory_kb: f64,
+        /// Its calls in the hands of the store.
+        calls: usize,
+    },
     /// What was kept of keys before this start.
     Recovered(Box<Recovered>),
     /// All that was to be kept up to this ticket is durable.
@@ -400,6 +414,20 @@
         self.entries.len()
     }
 
+    /// Requests on the cores, memory booked for requests in KB, and calls in the hands of the store.
+    #[must_use]
+    pub fn held(&self) -> (usize, f64, usize) {
+        let count = |wanted: fn(&Stage) -> bool| self.entries.values().filter(|e| wanted(&e.stage)).count();
+        // In whole bytes: the sum is the same in whatever order.
+        let of = |entry: &Entry| match entry.stage {
+            Stage::Held | Stage::Waiting | Stage::Ending => (entry.request.memory_kb * 1e3) as u64,
+            _ => (entry.request.memory_kb * self.settings.run_factor.max(1.0) * 1e3) as u64,
+        };
+        let running = count(|stage| matches!(stage, Stage::Running | Stage::Starting));
+        let calls = count(|stage| matches!(stage, Stage::Calling));
+        (running, self.entries.values().map(of).sum::<u64>() as f64 / 1e3, calls)
+    }
+
     /// What became of requests since the start, by class.
     #[must_use]
     pub fn counts(&self) -> &Counts {
@@ -464,7 +492,11 @@
             }
             Fact::RuntimeLost => self.lose_runs(now, commands),
             Fact::Drain { .. } if planted(Bug::DrainForgotten) => {}
-            Fact::Drain { stop_at } => self.begin_drain(stop_at),
+            Fact::Drain { stop_at } => self.begin_drain(stop_at, Event::Drain { stop_at }),
+            Fact::Succeeded { stop_at } => self.begin_drain(stop_at, Event::Succeeded { stop_at }),
+            Fact::Beside { running, memory_kb, calls } => {
+                self.events.push(Event::Beside { running, memory_kb, calls });
+            }
             Fact::Recovered(_) | Fact::Durable(_) | Fact::Keeping(_) | Fact::Recalled { .. } => {
                 self.hear_of_keys(now, fact, commands);
             }
@@ -521,7 +553,7 @@
 
     /// Everything is due before the stop, also what the controller does not know of, or knows no more: a result that
     /// waits to be durable, a repeat that waits for one to be read.
-    fn begin_drain(&mut self, stop_at: Micros) {
+    fn begin_drain(&mut self, stop_at: Micros, event: Event) {
         // After the controller's own time for that, which knows better what to say.
         let last = stop_at.saturating_sub(self.settings.answer_slack);
         self.last_due = last;
@@ -532,7 +564,7 @@
                 entry.due = due;
             }
         }
-        self.events.push(Event::Drain { stop_at });
+        self.events.push(event);
     }
 
     /// Guards against an answer that the controller does not give: half of the slack is left to send it.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -170,6 +170,7 @@
             Party::Front(number) => self.front.note(number, readiness),
             Party::Target(number) => self.upstream.note(number, readiness),
             Party::Runtime | Party::Store(_) | Party::Directory | Party::Operator(_) => {}
+            Party::Predecessor | Party::Successor => {}
         }
     }
 
--- a/crates/matcher/src/directory.rs
+++ b/crates/matcher/src/directory.rs
@@ -26,6 +26,7 @@
     /// What the last report said, and whether it counted.
     said: bool,
     well: bool,
+    silent: bool,
 }
 
 impl<W: World> Directory<W> {
@@ -33,7 +34,17 @@
     #[must_use]
     pub fn new(world: W, address: SocketAddr, name: &str) -> Self {
         let path = format!("/dir/nodes/{name}");
-        Self { world, address, path, conn: None, asked: None, beat_at: 0, said: false, well: true }
+        Self {
+            world,
+            address,
+            path,
+            conn: None,
+            asked: None,
+            beat_at: 0,
+            said: false,
+            well: true,
+            silent: false,
+        }
     }
 
     /// The directory is at this address from now on, and is told at once.
@@ -58,15 +69,18 @@
         }
     }
 
-    /// Reads the answer to the last report and makes the next when it is time; a change is told at once.
-    pub fn turn(&mut self, now: Micros, open: bool) {
+    /// Reads the answer to the last report and makes the next when it is time; a change is told at once. Nothing is
+    /// reported where another process does that.
+    pub fn turn(&mut self, now: Micros, open: Option<bool>) {
+        self.silent = open.is_none();
+        let open = open.unwrap_or(self.said);
         if open != self.said && self.asked.is_none() {
             self.beat_at = now;
         }
         if self.asked.is_some_and(|asked| now >= asked + PATIENCE) {
             self.fail("no answer in time");
         }
-        if now >= self.beat_at && self.asked.is_none() {
+        if now >= self.beat_at && self.asked.is_none() && !self.silent {
             self.beat_at = now + BEAT;
             self.said = open;
             if let Err(e) = self.report(now) {
@@ -81,7 +95,8 @@
     /// When the next report is due or one is given up.
     #[must_use]
     pub fn next(&self) -> Micros {
-        self.asked.map_or(self.beat_at, |asked| asked + PATIENCE)
+        let beat_at = if self.silent { Micros::MAX } else { self.beat_at };
+        self.asked.map_or(beat_at, |asked| asked + PATIENCE)
     }
 
     fn report(&mut self, now: Micros) -> io::Result<()> {
--- a/crates/matcher/src/front.rs
+++ b/crates/matcher/src/front.rs
@@ -101,7 +101,9 @@
 
 /// A listening socket.
 struct Door<W: World> {
-    /// None once others alone accept there.
+    /// Where it listens, or is to.
+    address: SocketAddr,
+    /// None before there is one, and once others alone accept there.
     listener: Option<W::Listener>,
     speaks: Speaks,
     acceptable: bool,
@@ -127,6 +129,10 @@
     idle: Option<Micros>,
     leaving: bool,
     parting: bool,
+    /// Another process accepts.
+    resting: bool,
+    /// Connections are sent away as soon as nothing is on its way on them.
+    yielding: bool,
 }
 
 impl<W: World> Front<W> {
@@ -150,6 +156,98 @@
             idle: None,
             leaving: false,
             parting: false,
+            resting: false,
+            yielding: false,
+        }
+    }
+
+    /// Adds an address whose listening socket comes later.
+    pub fn expect(&mut self, address: SocketAddr, speaks: Speaks) {
+        self.doors.push(Door { address, listener: None, speaks, acceptable: false });
+    }
+
+    /// Takes up the listening socket of an address that one is expected for; tells whether there is one.
+    ///
+    /// # Errors
+    /// What the maker of the listener says.
+    pub fn adopt(
+        &mut self,
+        address: SocketAddr,
+        listener: impl FnOnce(usize) -> io::Result<W::Listener>,
+    ) -> io::Result<bool> {
+        let expects = |door: &Door<W>| door.address == address && door.listener.is_none();
+        let Some(place) = self.doors.iter().position(expects) else { return Ok(false) };
+        self.doors[place].listener = Some(listener(place)?);
+        // Connections may wait there already.
+        self.doors[place].acceptable = true;
+        Ok(true)
+    }
+
+    /// Listens on all addresses that still have no listening socket.
+    ///
+    /// # Errors
+    /// The first that can't be had.
+    pub fn listen_expected(&mut self) -> io::Result<Vec<SocketAddr>> {
+        let mut addresses = Vec::new();
+        for place in 0..self.doors.len() {
+            if self.doors[place].listener.is_some() {
+                continue;
+            }
+            let address = self.doors[place].address;
+            let listened = self.world.listen(address, place);
+            let (listener, address) =
+                listened.map_err(|e| io::Error::new(e.kind(), format!("listen: {address}: {e}")))?;
+            let door = &mut self.doors[place];
+            (door.address, door.listener, door.acceptable) = (address, Some(listener), true);
+            addresses.push(address);
+        }
+        Ok(addresses)
+    }
+
+    /// Where it listens, with the sockets.
+    pub fn listeners(&self) -> impl Iterator<Item = (SocketAddr, Option<&W::Listener>)> {
+        self.doors.iter().map(|door| (door.address, door.listener.as_ref()))
+    }
+
+    /// Accepts nothing until it is told to.
+    pub fn rest(&mut self) {
+        self.resting = true;
+    }
+
+    /// Accepts, again or at last.
+    pub fn resume(&mut self) {
+        (self.resting, self.yielding) = (false, false);
+        self.doors.iter_mut().for_each(|door| door.acceptable = door.listener.is_some());
+    }
+
+    /// Another process accepts from here on: connections are told to close, each as soon as nothing is on its way on it.
+    pub fn give_way(&mut self, now: Micros) {
+        (self.resting, self.yielding) = (true, true);
+        self.send_away(now);
+    }
+
+    /// Nobody is accepted here any more: another process does.
+    pub fn leave_listeners(&mut self) {
+        self.doors.clear();
+    }
+
+    /// Holds so many connections from now on. Those above that go where they owe nothing.
+    pub fn set_most(&mut self, now: Micros, most: usize, facts: &mut Vec<Fact>) {
+        self.most = most.max(1);
+        while self.peers.len() > self.most && self.make_room(now, facts) {}
+    }
+
+    fn send_away(&mut self, now: Micros) {
+        let (good, feedback) = (self.good, self.feedback);
+        for (&number, peer) in &mut self.peers {
+            let status = peer.machine.status();
+            // Guards what is being written on it: its front end could only send it once more.
+            if status.standing != Standing::Open || !status.spoken || status.waits.is_some() {
+                continue;
+            }
+            let context = Context { now, number, classes: &self.classes, good, feedback };
+            peer.machine.part(&context, peer.conn.output());
+            self.noted.push(number);
         }
     }
 
@@ -159,7 +257,7 @@
     /// When the address can't be listened on.
     pub fn listen(&mut self, address: SocketAddr, speaks: Speaks) -> io::Result<SocketAddr> {
         let (listener, address) = self.world.listen(address, self.doors.len())?;
-        self.doors.push(Door { listener: Some(listener), speaks, acceptable: true });
+        self.doors.push(Door { address, listener: Some(listener), speaks, acceptable: true });
         Ok(address)
     }
 
@@ -304,7 +402,7 @@
     }
 
     fn acceptable(&self) -> bool {
-        self.doors.iter().any(|door| door.acceptable)
+        !self.resting && self.doors.iter().any(|door| door.acceptable)
     }
 
     fn close(&mut self, number: u64, facts: &mut Vec<Fact>) {
@@ -339,7 +437,7 @@
 
     fn accept(&mut self, now: Micros, facts: &mut Vec<Fact>) {
         for place in 0..self.doors.len() {
-            if now < self.accept_at {
+            if now < self.accept_at || self.resting {
                 return;
             }
             self.accept_at_door(place, now, facts);
@@ -401,6 +499,9 @@
     }
 
     fn sweep(&mut self, now: Micros) {
+        if self.yielding {
+            self.send_away(now);
+        }
         let paused = now >= self.sweep_at + PAUSE;
         self.sweep_at = now + SWEEP;
         let (good, feedback) = (self.good, self.feedback);
--- a/crates/matcher/src/keeping.rs
+++ b/crates/matcher/src/keeping.rs
@@ -170,7 +170,7 @@
 
 /// Access to the keeper; it ends when this is dropped.
 pub struct Keeping {
-    jobs: Sender<Job>,
+    jobs: Option<Sender<Job>>,
     over: Receiver<()>,
 }
 
@@ -197,22 +197,34 @@
             // Nobody may wait for it any more.
             let _ = ended.send(());
         })?;
-        Ok(Self { jobs, over })
+        Ok(Self { jobs: Some(jobs), over })
+    }
+}
+
+impl Keeping {
+    fn ask(&self, job: Job) {
+        if let Some(jobs) = &self.jobs {
+            // A keeper that is gone has said so: nothing is admitted then.
+            let _ = jobs.send(job);
+        }
     }
 }
 
 impl world::Keeper for Keeping {
     fn write(&self, effect: Effect) {
-        // A keeper that is gone has said so: nothing is admitted then.
-        let _ = self.jobs.send(Job::Write(effect));
+        self.ask(Job::Write(effect));
     }
 
     fn recall(&self, now: Micros, id: RequestId, number: u64, key: ScopedKey) {
-        let _ = self.jobs.send(Job::Recall(now, id, number, key));
+        self.ask(Job::Recall(now, id, number, key));
+    }
+
+    fn release(&mut self) {
+        self.jobs = None;
     }
 
-    fn stop(self) {
-        drop(self.jobs);
+    fn stop(mut self) {
+        self.release();
         if self.over.recv_timeout(FAREWELL).is_err() {
             tracing::warn!("results: the store could not be closed in time; it recovers at the next start");
         }
--- a/crates/matcher/src/lib.rs
+++ b/crates/matcher/src/lib.rs
@@ -8,10 +8,12 @@
 pub mod front;
 pub mod keeping;
 pub mod operators;
+mod passage;
 pub mod real;
 pub mod report;
 pub mod runtime;
 pub mod store;
+pub mod upgrade;
 pub mod world;
 
 pub use real::serve;
@@ -22,11 +24,12 @@
 use cleatpulley_policy::interface::Settings;
 use cleatpulley_policy::plant::{planted, Bug};
 use cleatpulley_protocol::{ajp, mgmt};
+use cleatpulley_upgrade::Held;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::rc::Rc;
-use world::{Keeper, Readiness, World};
+use world::{Keeper, Meeting, Readiness, World};
 
 /// Descriptors that are neither a front end's nor the store's: the loop's own, the listener, the link, the
 /// directory, the log, and some to spare.
@@ -35,6 +38,12 @@
 /// of calls is far smaller, and front ends may open connections for half of the descriptors.
 const STORE_SHARE: usize = 16;
 const STORE: std::ops::RangeInclusive<usize> = 8..=64;
+/// A successor leaves room for its predecessor, and has at least so many connections.
+const FEWEST: usize = 16;
+/// A process whose successor is there is stopped so long after the longest wait of a caller, of which no more than that
+/// counts.
+const AFTER_LONGEST: Micros = 700_000;
+const LONGEST_WAIT: Micros = 3_000_000;
 /// Before the stop front ends are told to send no more, while there is time to answer what is on its way.
 const FAREWELL: Micros = 400_000;
 
@@ -51,6 +60,10 @@
     Directory,
     /// A caller at the operators' address, by the number of its connection.
     Operator(u64),
+    /// The process whose place this one takes.
+    Predecessor,
+    /// The process that takes this one's place.
+    Successor,
     /// A target of a gateway, by the number of the connection.
     Target(u64),
 }
@@ -105,6 +118,9 @@
     pub listen: SocketAddr,
     /// Other processes accept there too, and go on when this one leaves.
     pub shares_listener: bool,
+    /// The folder in which it meets the process whose place it takes, and the one that takes its own; without one it
+    /// meets none.
+    pub meets_in: Option<PathBuf>,
     /// Where operators ask how the process is, if anywhere.
     pub mgmt: Option<SocketAddr>,
     /// Where the other parties are.
@@ -157,6 +173,7 @@
     exchange: Exchange,
     front: front::Front<W>,
     operators: Option<operators::Operators<W>>,
+    name: String,
     class_names: Vec<String>,
     runtime: runtime::Runtime<W>,
     store: store::Store<W>,
@@ -167,6 +184,14 @@
     /// When the process is stopped, once the notice to leave has come.
     stop_at: Option<Micros>,
     shares_listener: bool,
+    upgrade: Option<upgrade::Upgrade<W>>,
+    /// Connections of the client side that it may hold, where no other process holds any.
+    most: usize,
+    /// The longest that a caller waits.
+    longest: Micros,
+    /// Another process had its place when it was told to leave.
+    succeeded: bool,
+    fault: Option<io::Error>,
     /// When the runtime came up, as it last said.
     up_since: Option<Micros>,
     /// The speed of a cold runtime, as a share, and when it is warm.
@@ -183,25 +208,42 @@
         let asked = options.mgmt.map_or(0, |_| operators::PLACES + 1);
         let most = options.sockets.saturating_sub(SPARE + calls + asked).max(1);
         let mut front = front::Front::new(world.clone(), options.class_names.clone(), most);
-        let mut listen = |address, speaks| {
-            let listened = front.listen(address, speaks);
-            listened.map_err(|e| io::Error::new(e.kind(), format!("listen: {address}: {e}")))
-        };
         let key_field =
             options.results.as_ref().and_then(|results| results.frame_field.as_deref()).map(Rc::from);
-        let address = listen(options.listen, front::Speaks::Frames(key_field))?;
-        tracing::info!("{} listens on {address}", options.name);
+        let mut doors = vec![(options.listen, front::Speaks::Frames(key_field))];
         if let Some(ajp) = options.ajp {
             let (settings, trusted) = (Rc::new(ajp.settings), Rc::new(ajp.trusted));
-            for address in ajp.listen {
-                let speaks = front::Speaks::Ajp(Rc::clone(&settings), Rc::clone(&trusted));
-                // Not among the line's arguments: those are not looked at where the log's level leaves the line out.
-                let address = listen(address, speaks)?;
-                tracing::info!("{} speaks AJP on {address}", options.name);
+            let speaks = |_| front::Speaks::Ajp(Rc::clone(&settings), Rc::clone(&trusted));
+            doors.extend(ajp.listen.iter().map(|address| (*address, speaks(()))));
+        }
+        let mut upgrade = options.meets_in.map(|folder| {
+            let meeting = Meeting { folder, name: options.name.clone(), address: options.listen };
+            let listen: Vec<_> = doors.iter().map(|(address, _)| *address).collect();
+            upgrade::Upgrade::new(world.clone(), meeting, &listen)
+        });
+        let alone = upgrade.as_ref().is_none_or(upgrade::Upgrade::serves);
+        for (n, (address, speaks)) in doors.into_iter().enumerate() {
+            if !alone {
+                front.rest();
+                front.expect(address, speaks);
+                continue;
+            }
+            let listened = front.listen(address, speaks);
+            let address =
+                listened.map_err(|e| io::Error::new(e.kind(), format!("listen: {address}: {e}")))?;
+            // Not among the line's arguments: those are not looked at where the log's level leaves the line out.
+            tracing::info!(
+                "{} {} {address}",
+                options.name,
+                if n == 0 { "listens on" } else { "speaks AJP on" }
+            );
+            if let Some(upgrade) = upgrade.as_mut().filter(|_| n == 0) {
+                upgrade.post(address);
             }
         }
         let operators =
             options.mgmt.map(|address| operators::Operators::listen(world.clone(), address)).transpose()?;
+        let longest = options.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
         let warming = (options.settings.cold_speed, options.settings.warm_after);
         let (exchange, keeper) = match options.results {
             None => (Exchange::new(options.settings, options.seed), None),
@@ -221,6 +263,7 @@
             exchange,
             front,
             operators,
+            name: options.name.clone(),
             class_names: classes.clone(),
             runtime: runtime::Runtime::new(world.clone(), runtime, classes, gauges),
             store: store::Store::new(world.clone(), store, options.store_speaks, calls),
@@ -230,6 +273,11 @@
             commands: Vec::new(),
             stop_at: None,
             shares_listener: options.shares_listener,
+            upgrade,
+            most,
+            longest,
+            succeeded: false,
+            fault: None,
             up_since: None,
             warming,
             world,
@@ -248,6 +296,7 @@
         let (listeners, connections, open) = self.front.census();
         let (calls, pool) = self.store.census();
         let asked = self.operators.as_ref().map_or(0, |operators| operators.connections() + 1);
+        let passes = self.upgrade.as_ref().map_or(0, upgrade::Upgrade::descriptors);
         let links = usize::from(self.runtime.linked()) + usize::from(self.directory.linked());
         Census {
             requests: self.exchange.requests(),
@@ -255,7 +304,7 @@
             intents: self.exchange.history().map_or(0, |history| history.runs()),
             open,
             calls,
-            descriptors: listeners + connections + pool + links + asked,
+            descriptors: listeners + connections + pool + links + asked + passes,
         }
     }
 
@@ -278,7 +327,8 @@
                     operators.note(number, readiness);
                 }
             }
-            Party::Target(_) => {}
+            // Whatever came from there is read in every turn.
+            Party::Predecessor | Party::Successor | Party::Target(_) => {}
         }
     }
 
@@ -291,7 +341,10 @@
     pub fn acceptable(&mut self, listener: usize) {
         match &mut self.operators {
             Some(operators) if listener == operators::PLACE => operators.note_listener(),
-            _ => self.front.note_listener(listener),
+            _ => match &mut self.upgrade {
+                Some(upgrade) if listener == upgrade::PLACE => upgrade.note_post(),
+                _ => self.front.note_listener(listener),
+            },
         }
     }
 
@@ -299,6 +352,9 @@
     pub fn leave(&mut self) {
         if self.stop_at.is_none() {
             let now = self.world.now();
+            if self.upgrade.as_ref().is_some_and(upgrade::Upgrade::succeeded) {
+                return self.leave_to_successor(now);
+            }
             let stop_at = now + self.stop;
             tracing::info!("leaving within {} ms", self.stop / 1_000);
             self.stop_at = Some(stop_at);
@@ -334,7 +390,8 @@
             let now = self.world.now();
             let quiet = self.exchange.unanswered() == 0 && self.front.connections() == 0;
             let quiet = quiet || planted(Bug::LeftEarly);
-            now >= at || (quiet && now + FAREWELL / 2 >= at)
+            // Where a successor accepts, nobody can come here any more.
+            now >= at || (quiet && self.succeeded) || (quiet && now + FAREWELL / 2 >= at)
         })
     }
 
@@ -347,6 +404,7 @@
         }
         // First: what staff see may not depend on how many clients there are.
         let mut more = self.answer_operators(now);
+        self.go_on_with_upgrade(now);
         more |= self.front.turn(now, &mut self.facts);
         more |= self.runtime.turn(now, &mut self.facts);
         self.store.turn(now, &mut self.facts);
@@ -363,16 +421,115 @@
         self.front.flush(now, &mut self.facts);
         more |= self.runtime.turn(now, &mut self.facts);
         self.store.turn(now, &mut self.facts);
-        self.directory.turn(now, self.runtime.up() && self.stop_at.is_none());
+        let open = self.runtime.up() && self.stop_at.is_none();
+        let reports = self.serves() && !self.succeeded;
+        self.directory.turn(now, reports.then_some(open));
         if more || !self.facts.is_empty() {
             return 0;
         }
         let asked = self.operators.as_ref().and_then(operators::Operators::next);
-        let next = [self.exchange.next(), self.runtime.next(), self.store.next(), self.stop_at, asked];
+        let passes = self.upgrade.as_ref().and_then(upgrade::Upgrade::next);
+        let next =
+            [self.exchange.next(), self.runtime.next(), self.store.next(), self.stop_at, asked, passes];
         let next = next.into_iter().flatten().chain([self.front.next(), self.directory.next()]).min();
         next.unwrap_or(0)
     }
 
+    /// The notice to leave, where another process has its place: nobody is sent elsewhere, and what was read is answered.
+    fn leave_to_successor(&mut self, now: Micros) {
+        let stop = self.stop.min(self.longest.min(LONGEST_WAIT) + AFTER_LONGEST);
+        tracing::info!("leaving within {} ms, to its successor", stop / 1_000);
+        let stop_at = now + stop;
+        self.stop_at = Some(stop_at);
+        self.succeeded = true;
+        self.facts.push(Fact::Succeeded { stop_at });
+        self.front.leave_listeners();
+    }
+
+    /// Goes on with taking another process's place, or giving up its own.
+    fn go_on_with_upgrade(&mut self, now: Micros) {
+        let Some(mut upgrade) = self.upgrade.take() else { return };
+        let mut steps = Vec::new();
+        let listens: Vec<_> = self.front.listeners().collect();
+        upgrade.turn(now, self.runtime.up(), &listens, || self.held(), &mut steps);
+        for step in steps {
+            self.take_step(now, step, &mut upgrade);
+        }
+        self.upgrade = Some(upgrade);
+    }
+
+    fn take_step(&mut self, now: Micros, step: upgrade::Step<W>, upgrade: &mut upgrade::Upgrade<W>) {
+        match step {
+            upgrade::Step::Adopt(passed) => {
+                for (address, passed) in passed {
+                    let adopted = self.front.adopt(address, |place| self.world.adopt(passed, address, place));
+                    match adopted {
+                        Ok(true) => tracing::info!("{} listens on {address}, which was passed on", self.name),
+                        Ok(false) => {}
+                        Err(e) => tracing::warn!("upgrade: {address} is listened on anew: {e}"),
+                    }
+                }
+                self.listen();
+            }
+            upgrade::Step::Listen => {
+                tracing::warn!("upgrade: nothing was passed on; listens beside the process that serves");
+                self.listen();
+            }
+            upgrade::Step::Serve => {
+                tracing::info!("upgrade: takes clients");
+                self.front.resume();
+                let first = self.front.listeners().next();
+                if let Some((address, _)) = first {
+                    upgrade.post(address);
+                }
+            }
+            upgrade::Step::Beside(held) => {
+                let Held { running, memory_kb, calls, descriptors } = held;
+                self.facts.push(Fact::Beside { running, memory_kb, calls });
+                // What the other still has, and what each process needs for itself.
+                let taken = if descriptors == 0 { 0 } else { descriptors + SPARE / 2 };
+                let most = self.most.saturating_sub(taken).max(FEWEST);
+                self.front.set_most(now, most, &mut self.facts);
+            }
+            upgrade::Step::Learn(_) => {}
+            upgrade::Step::Yield => {
+                tracing::info!("upgrade: a successor takes clients from here on");
+                self.front.give_way(now);
+                self.front.set_most(now, self.most / 2, &mut self.facts);
+                upgrade.yielded(self.held(), String::new());
+            }
+            upgrade::Step::Resume if self.succeeded => {
+                tracing::error!("upgrade: the successor is gone, and this process leaves as well");
+            }
+            upgrade::Step::Resume => {
+                tracing::warn!("upgrade: the successor is gone; takes clients again");
+                self.front.resume();
+                self.front.set_most(now, self.most, &mut self.facts);
+                let first = self.front.listeners().next();
+                if let Some((address, _)) = first {
+                    upgrade.post(address);
+                }
+            }
+        }
+    }
+
+    fn listen(&mut self) {
+        match self.front.listen_expected() {
+            Ok(addresses) => {
+                for address in addresses {
+                    tracing::info!("{} listens on {address}", self.name);
+                }
+            }
+            Err(e) => self.fault = Some(e),
+        }
+    }
+
+    /// What it has of the machine.
+    fn held(&self) -> Held {
+        let (running, memory_kb, calls) = self.exchange.held();
+        Held { running, memory_kb, calls, descriptors: self.census().descriptors }
+    }
+
     fn answer_operators(&mut self, now: Micros) -> bool {
         let Some(mut operators) = self.operators.take() else { return false };
         let more = operators.turn(now, &*self);
@@ -383,7 +540,17 @@
     /// Whether it takes clients: without its runtime it serves nothing.
     #[must_use]
     pub fn takes_clients(&self) -> bool {
-        self.runtime.up() && self.stop_at.is_none()
+        self.runtime.up() && self.stop_at.is_none() && self.serves()
+    }
+
+    /// Clients are accepted here, and by no process whose place it takes or that takes its own.
+    fn serves(&self) -> bool {
+        self.upgrade.as_ref().is_none_or(upgrade::Upgrade::serves)
+    }
+
+    /// What it can't go on with.
+    pub fn fault(&mut self) -> Option<io::Error> {
+        self.fault.take()
     }
 
     /// How it is, for a fleet's daemon.
--- /dev/null
+++ b/crates/matcher/src/passage.rs
@@ -0,0 +1,139 @@
+//! How the two processes of an upgrade meet in the real world: a Unix socket of whole packets in a private folder, over
+//! which listening sockets pass.
+
+use super::world::{self, Meeting};
+use rustix::net::{
+    recvmsg, sendmsg, sockopt, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
+    SendAncillaryMessage, SendFlags,
+};
+use socket2::{Domain, SockAddr, Socket, Type};
+use std::io::{self, IoSlice, IoSliceMut};
+use std::mem::MaybeUninit;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::{AsFd, OwnedFd};
+use std::path::PathBuf;
+
+/// Sockets that come along with one message at most.
+const MOST: usize = 16;
+/// Successors that may wait.
+const BACKLOG: i32 = 4;
+
+/// The connection.
+pub struct Passage {
+    pub(super) socket: std::rc::Rc<Socket>,
+    pub(super) _watch: super::real::Watch,
+}
+
+/// A listening socket as it came.
+pub struct Passed(OwnedFd);
+
+impl Passed {
+    /// The socket, where it is one that listens for streams at this address.
+    ///
+    /// # Errors
+    /// What else it is.
+    pub(super) fn listener(self, address: SocketAddr) -> io::Result<TcpListener> {
+        let odd = |what: String| Err(io::Error::new(io::ErrorKind::InvalidData, what));
+        if sockopt::socket_type(&self.0)? != rustix::net::SocketType::STREAM {
+            return odd("no socket for streams was passed".to_owned());
+        }
+        if !sockopt::socket_acceptconn(&self.0)? {
+            return odd("a socket that does not listen was passed".to_owned());
+        }
+        let listener = TcpListener::from(self.0);
+        let at = listener.local_addr()?;
+        if at.ip() != address.ip() || (address.port() != 0 && at.port() != address.port()) {
+            return odd(format!("a socket that listens on {at} was passed for {address}"));
+        }
+        Ok(listener)
+    }
+}
+
+impl world::Passage for Passage {
+    type Listener = super::real::Listener;
+    type Passed = Passed;
+
+    fn send(&self, message: &[u8], along: &[&Self::Listener]) -> io::Result<()> {
+        let passed: Vec<_> = along.iter().take(MOST).map(|listener| listener.socket().as_fd()).collect();
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MOST))];
+        let mut control = SendAncillaryBuffer::new(&mut space);
+        if !passed.is_empty() {
+            control.push(SendAncillaryMessage::ScmRights(&passed));
+        }
+        let flags = SendFlags::NOSIGNAL | SendFlags::DONTWAIT;
+        let sent = sendmsg(&*self.socket, &[IoSlice::new(message)], &mut control, flags)?;
+        if sent == message.len() {
+            return Ok(());
+        }
+        Err(io::ErrorKind::WriteZero.into())
+    }
+
+    fn receive(&self) -> io::Result<(Vec<u8>, Vec<Passed>)> {
+        // One byte more than any message has: a longer one shows as too long, and is not cut unseen.
+        let mut bytes = vec![0; cleatpulley_upgrade::message::LONGEST + 1];
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MOST))];
+        let mut control = RecvAncillaryBuffer::new(&mut space);
+        let flags = RecvFlags::DONTWAIT | RecvFlags::CMSG_CLOEXEC;
+        let received = recvmsg(&*self.socket, &mut [IoSliceMut::new(&mut bytes)], &mut control, flags)?;
+        bytes.truncate(received.bytes);
+        let mut passed = Vec::new();
+        for message in control.drain() {
+            if let RecvAncillaryMessage::ScmRights(sockets) = message {
+                passed.extend(sockets.map(Passed));
+            }
+        }
+        Ok((bytes, passed))
+    }
+}
+
+fn socket() -> io::Result<Socket> {
+    let socket = Socket::new(Domain::UNIX, Type::SEQPACKET, None)?;
+    // Guards the event loop against a process that does not accept.
+    socket.set_nonblocking(true)?;
+    Ok(socket)
+}
+
+fn path(meeting: &Meeting) -> PathBuf {
+    let Meeting { folder, name, address } = meeting;
+    let at = address.to_string().replace([':', '[', ']', '%'], "-");
+    folder.join(format!("{name}@{at}.upgrade"))
+}
+
+/// Where successors come to. A process that was there before and is still alive keeps the connections it has.
+pub(super) fn post(meeting: &Meeting) -> io::Result<Socket> {
+    let (path, socket) = (path(meeting), socket()?);
+    // What stands there is of a process that is gone, or of the one whose place this one has taken.
+    let own = path.with_extension(format!("{}", std::process::id()));
+    let _ = std::fs::remove_file(&own);
+    socket.bind(&SockAddr::unix(&own)?)?;
+    std::fs::set_permissions(&own, std::os::unix::fs::PermissionsExt::from_mode(0o600))?;
+    socket.listen(BACKLOG)?;
+    std::fs::rename(&own, &path)?;
+    Ok(socket)
+}
+
+/// A successor that waits. One of another user is closed unheard.
+pub(super) fn welcome(post: &Socket) -> io::Result<Socket> {
+    let (socket, _) = post.accept()?;
+    socket.set_nonblocking(true)?;
+    check(&socket)?;
+    Ok(socket)
+}
+
+/// The process that serves, if there is one.
+pub(super) fn visit(meeting: &Meeting) -> io::Result<Socket> {
+    let socket = socket()?;
+    socket.connect(&SockAddr::unix(path(meeting))?)?;
+    check(&socket)?;
+    Ok(socket)
+}
+
+/// Guards against a process of another user: it must neither get our sockets nor give us its own.
+fn check(socket: &Socket) -> io::Result<()> {
+    let peer = sockopt::socket_peercred(socket)?;
+    if peer.uid == rustix::process::geteuid() {
+        return Ok(());
+    }
+    let what = format!("process {} of user {} is not ours", peer.pid.as_raw_pid(), peer.uid.as_raw());
+    Err(io::Error::new(io::ErrorKind::PermissionDenied, what))
+}
--- a/crates/matcher/src/real.rs
+++ b/crates/matcher/src/real.rs
@@ -1,8 +1,9 @@
 //! The real world: calloop's event loop, the system's sockets and clocks, and a thread that keeps results.
 
 use super::keeping::Keeping;
+use super::passage::{self, Passage, Passed};
 use super::report::{FleetLink, Reporter, Status};
-use super::world::{Readiness, Stream, World};
+use super::world::{Meeting, Readiness, Stream, World};
 use super::{Node, Options, Party, Reload};
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
@@ -14,6 +15,7 @@
 use std::cell::RefCell;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsFd;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -44,6 +46,11 @@
     /// All is answered and nobody can ask any more, or it is time.
     fn is_over(&self) -> bool;
 
+    /// What it can't go on with.
+    fn fault(&mut self) -> Option<io::Error> {
+        None
+    }
+
     /// Closes what it keeps.
     fn close(&mut self) {}
 
@@ -83,6 +90,10 @@
         Self::is_over(self)
     }
 
+    fn fault(&mut self) -> Option<io::Error> {
+        Self::fault(self)
+    }
+
     fn close(&mut self) {
         Self::close(self);
     }
@@ -124,6 +135,13 @@
     clock: Clock,
     /// A listening socket that the process was started with; it takes the first listener's place.
     inherited: Rc<RefCell<Option<TcpListener>>>,
+    shares_addresses: bool,
+}
+
+/// Where successors come to.
+pub struct Post {
+    socket: Rc<Socket>,
+    _watch: Watch,
 }
 
 /// A connection; it is watched for edges.
@@ -161,11 +179,22 @@
 /// A listening socket.
 pub struct Listener {
     socket: Rc<TcpListener>,
+    _watch: Watch,
+}
+
+impl Listener {
+    pub(super) fn socket(&self) -> &TcpListener {
+        &self.socket
+    }
+}
+
+/// What the event loop watches, until this is dropped.
+pub struct Watch {
     handle: Handle,
     token: RegistrationToken,
 }
 
-impl Drop for Listener {
+impl Drop for Watch {
     fn drop(&mut self) {
         self.handle.remove(self.token);
     }
@@ -175,7 +204,43 @@
     /// That of an event loop.
     #[must_use]
     pub fn new(handle: Handle) -> Self {
-        Self { handle, clock: Clock::new(), inherited: Rc::default() }
+        Self { handle, clock: Clock::new(), inherited: Rc::default(), shares_addresses: false }
+    }
+
+    /// Listening sockets share their addresses with those of other processes that do likewise (SO_REUSEPORT), so that a
+    /// successor can listen beside this one where no socket passes between them.
+    #[must_use]
+    pub fn sharing_addresses(self, shares_addresses: bool) -> Self {
+        Self { shares_addresses, ..self }
+    }
+
+    fn watch_for<S: AsFd + 'static>(
+        &self,
+        socket: Rc<S>,
+        mode: Mode,
+        seen: impl Fn(&mut Box<dyn Served>) + 'static,
+    ) -> io::Result<Watch> {
+        let source = Generic::new(socket, Interest::READ, mode);
+        let watched = self.handle.insert_source(source, move |_, _, node| {
+            seen(node);
+            Ok(PostAction::Continue)
+        });
+        let token = watched.map_err(|e| io::Error::other(e.to_string()))?;
+        Ok(Watch { handle: self.handle.clone(), token })
+    }
+
+    fn watch_listener(&self, socket: TcpListener, place: usize) -> io::Result<Listener> {
+        socket.set_nonblocking(true)?;
+        let socket = Rc::new(socket);
+        let watch = self.watch_for(Rc::clone(&socket), Mode::Edge, move |node| node.acceptable(place))?;
+        Ok(Listener { socket, _watch: watch })
+    }
+
+    fn passage(&self, socket: Socket, party: Party) -> io::Result<Passage> {
+        let socket = Rc::new(socket);
+        let seen = Readiness { readable: true, writable: false };
+        let watch = self.watch_for(Rc::clone(&socket), Mode::Edge, move |node| node.ready(party, seen))?;
+        Ok(Passage { socket, _watch: watch })
     }
 
     fn watch(&self, socket: TcpStream, party: Party) -> io::Result<Connection> {
@@ -198,6 +263,8 @@
     type Stream = Connection;
     type Listener = Listener;
     type Keeper = Keeping;
+    type Post = Post;
+    type Passage = Passage;
 
     fn now(&self) -> Micros {
         self.clock.now()
@@ -210,21 +277,34 @@
             None => {
                 let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
                 socket.set_reuse_address(true)?;
+                if self.shares_addresses {
+                    socket.set_reuse_port(true)?;
+                }
                 socket.bind(&address.into())?;
                 socket.listen(BACKLOG)?;
                 TcpListener::from(socket)
             }
         };
-        socket.set_nonblocking(true)?;
-        let socket = Rc::new(socket);
         let address = socket.local_addr()?;
-        let source = Generic::new(Rc::clone(&socket), Interest::READ, Mode::Edge);
-        let watched = self.handle.insert_source(source, move |_, _, node| {
-            node.acceptable(place);
-            Ok(PostAction::Continue)
-        });
-        let token = watched.map_err(|e| io::Error::other(e.to_string()))?;
-        Ok((Listener { socket, handle: self.handle.clone(), token }, address))
+        Ok((self.watch_listener(socket, place)?, address))
+    }
+
+    fn adopt(&self, passed: Passed, address: SocketAddr, place: usize) -> io::Result<Listener> {
+        self.watch_listener(passed.listener(address)?, place)
+    }
+
+    fn post(&self, meeting: &Meeting, place: usize) -> io::Result<Post> {
+        let socket = Rc::new(passage::post(meeting)?);
+        let watch = self.watch_for(Rc::clone(&socket), Mode::Edge, move |node| node.acceptable(place))?;
+        Ok(Post { socket, _watch: watch })
+    }
+
+    fn welcome(&self, post: &Post, party: Party) -> io::Result<Passage> {
+        self.passage(passage::welcome(&post.socket)?, party)
+    }
+
+    fn visit(&self, meeting: &Meeting, party: Party) -> io::Result<Passage> {
+        self.passage(passage::visit(meeting)?, party)
     }
 
     fn accept(&self, listener: &Listener, party: Party) -> io::Result<(Connection, IpAddr)> {
@@ -259,6 +339,8 @@
     pub link: Option<FleetLink>,
     /// A listening socket that instances share.
     pub listener: Option<TcpListener>,
+    /// Other processes of this program may listen on the same addresses.
+    pub shares_addresses: bool,
 }
 
 /// A fleet's daemon hears so often how the matcher is.
@@ -289,7 +371,7 @@
         _ => node.leave(),
     };
     handle.insert_source(signals, heard).map_err(|e| io::Error::other(e.to_string()))?;
-    let world = Real::new(handle.clone());
+    let world = Real::new(handle.clone()).sharing_addresses(hosted.shares_addresses);
     let shared = hosted.listener.as_ref().map(TcpListener::try_clone).transpose()?;
     *world.inherited.borrow_mut() = hosted.listener;
     if let Some(link) = hosted.link {
@@ -304,6 +386,9 @@
     let mut node = make(world)?;
     loop {
         let next = node.turn();
+        if let Some(fault) = node.fault() {
+            return Err(fault);
+        }
         if node.is_over() {
             node.close();
             tracing::info!("left");
--- /dev/null
+++ b/crates/matcher/src/upgrade.rs
@@ -0,0 +1,313 @@
+//! Upgrades in place: the connections to the process whose place this one takes, and to the one that takes its place. What
+//! is decided lies with `cleatpulley_upgrade`; what it comes to is told as steps to the node.
+
+use super::world::{Meeting, Passage, World};
+use super::Party;
+use cleatpulley_policy::interface::Micros;
+use cleatpulley_upgrade::predecessor::{self, Predecessor};
+use cleatpulley_upgrade::successor::{self, Successor};
+use cleatpulley_upgrade::{Held, Message};
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
+
+/// The number that successors are told of by.
+pub const PLACE: usize = (1 << 16) + 1;
+
+type Passed<W> = <<W as World>::Passage as Passage>::Passed;
+
+/// What the node is to do.
+pub enum Step<W: World> {
+    /// Take these sockets as those of these addresses.
+    Adopt(Vec<(SocketAddr, Passed<W>)>),
+    /// Listen where no socket is yet.
+    Listen,
+    /// Accept from here on.
+    Serve,
+    /// The other process has so much of the machine.
+    Beside(Held),
+    /// What the other process has learned.
+    Learn(String),
+    /// Accept no more, send connections away, and then [`yielded`](Upgrade::yielded) is to be told of it.
+    Yield,
+    /// The successor is gone.
+    Resume,
+}
+
+/// Both connections.
+pub struct Upgrade<W: World> {
+    world: W,
+    meeting: Meeting,
+    post: Option<W::Post>,
+    /// A successor may wait.
+    knocked: bool,
+    before: Option<(Successor, Option<W::Passage>)>,
+    /// What came along with the message that is being heard.
+    passed: Vec<Passed<W>>,
+    after: (Predecessor, Option<W::Passage>),
+}
+
+impl<W: World> Upgrade<W> {
+    /// Looks for a process whose place is to be taken. It is to be shown the addresses that are listened on; the first is
+    /// the one it is met by.
+    #[must_use]
+    pub fn new(world: W, meeting: Meeting, listen: &[SocketAddr]) -> Self {
+        let after = (Predecessor::new(&meeting.name), None);
+        let mut new =
+            Self { world, meeting, post: None, knocked: false, before: None, passed: Vec::new(), after };
+        // Where the system chooses the port, nobody can be there.
+        if new.meeting.address.port() != 0 {
+            match new.world.visit(&new.meeting, Party::Predecessor) {
+                Ok(passage) => {
+                    tracing::info!(
+                        "upgrade: takes the place of the process that serves {}",
+                        new.meeting.address
+                    );
+                    let (decides, effects) =
+                        Successor::new(new.world.now(), &new.meeting.name, listen.to_vec());
+                    new.before = Some((decides, Some(passage)));
+                    // Nothing but a word goes out before the first turn; where that fails, the turn sees it.
+                    let _ = new.before_does(effects, &mut Vec::new());
+                }
+                Err(e) if matches!(e.kind(), ErrorKind::NotFound | ErrorKind::ConnectionRefused) => {}
+                Err(e) => tracing::warn!("upgrade: the process that serves can't be met: {e}"),
+            }
+        }
+        new
+    }
+
+    /// It accepts clients: nobody else has the queue.
+    #[must_use]
+    pub fn serves(&self) -> bool {
+        self.before.as_ref().is_none_or(|(decides, _)| decides.serves()) && !self.after.0.yielded()
+    }
+
+    /// A successor takes the clients.
+    #[must_use]
+    pub fn succeeded(&self) -> bool {
+        self.after.0.yielded()
+    }
+
+    /// Connections that stand, and where successors come to.
+    #[must_use]
+    pub fn descriptors(&self) -> usize {
+        let before = self.before.as_ref().is_some_and(|(_, passage)| passage.is_some());
+        [self.post.is_some(), before, self.after.1.is_some()].into_iter().filter(|there| *there).count()
+    }
+
+    /// Successors find this process from now on, at this address.
+    pub fn post(&mut self, address: SocketAddr) {
+        self.meeting.address = address;
+        // The one before is let go first: its name goes to the next.
+        self.post = None;
+        match self.world.post(&self.meeting, PLACE) {
+            Ok(post) => (self.post, self.knocked) = (Some(post), true),
+            Err(e) => tracing::warn!("upgrade: no successor can be met: {e}"),
+        }
+    }
+
+    /// A successor may wait.
+    pub fn note_post(&mut self) {
+        self.knocked = true;
+    }
+
+    /// Hears what both say and lets time pass; `up` tells that requests can be run, `listens` where this process listens.
+    pub fn turn(
+        &mut self,
+        now: Micros,
+        up: bool,
+        listens: &[(SocketAddr, Option<&W::Listener>)],
+        held: impl Fn() -> Held,
+        steps: &mut Vec<Step<W>>,
+    ) {
+        self.hear_before(now, steps);
+        if let Some((decides, _)) = &mut self.before {
+            let effects = decides.turn(now, up);
+            self.before_goes(now, effects, steps);
+        }
+        self.welcome(now);
+        self.hear_after(now, listens, steps);
+        let effects = self.after.0.turn(now, held);
+        self.after_goes(effects, listens, steps);
+    }
+
+    /// The node has yielded.
+    pub fn yielded(&mut self, held: Held, learned: String) {
+        let effects = vec![predecessor::Effect::Send(Message::Yours { held, learned })];
+        self.after_goes(effects, &[], &mut Vec::new());
+    }
+
+    /// When [`turn`](Self::turn) has something to do.
+    #[must_use]
+    pub fn next(&self) -> Option<Micros> {
+        let before = self.before.as_ref().and_then(|(decides, _)| decides.next());
+        [before, self.after.0.next()].into_iter().flatten().min()
+    }
+
+    fn hear_before(&mut self, now: Micros, steps: &mut Vec<Step<W>>) {
+        while let Some((decides, Some(passage))) = &mut self.before {
+            let effects = match hear(passage) {
+                Ok(None) => return,
+                Ok(Some((message, passed))) => {
+                    if let Message::Refused { why } = &message {
+                        tracing::warn!("upgrade: the process that serves passes nothing yet: {why}");
+                    }
+                    self.passed = passed;
+                    decides.hear(now, message, self.passed.len())
+                }
+                Err(why) => {
+                    tracing::info!("upgrade: the predecessor is gone: {why}");
+                    decides.ended()
+                }
+            };
+            self.before_goes(now, effects, steps);
+            self.passed.clear();
+        }
+    }
+
+    /// Does what was decided; where that fails, what is decided then.
+    fn before_goes(&mut self, now: Micros, effects: Vec<successor::Effect>, steps: &mut Vec<Step<W>>) {
+        let visits = effects.contains(&successor::Effect::Visit);
+        let mut done = self.before_does(effects, steps);
+        if visits {
+            done = match self.world.visit(&self.meeting, Party::Predecessor) {
+                Ok(passage) => {
+                    let Some((decides, there)) = &mut self.before else { return };
+                    *there = Some(passage);
+                    let effects = decides.visited(now);
+                    self.before_does(effects, steps)
+                }
+                Err(e) => Err(e),
+            };
+        }
+        if let Err(e) = done {
+            tracing::info!("upgrade: the predecessor is gone: {e}");
+            let Some((decides, _)) = &mut self.before else { return };
+            let effects = decides.ended();
+            // Nothing is said to one that is gone.
+            let _ = self.before_does(effects, steps);
+        }
+    }
+
+    fn before_does(&mut self, effects: Vec<successor::Effect>, steps: &mut Vec<Step<W>>) -> io::Result<()> {
+        use successor::Effect;
+        let Some((_, passage)) = &mut self.before else { return Ok(()) };
+        for effect in effects {
+            match effect {
+                Effect::Send(message) => {
+                    let passage = passage.as_ref().ok_or(ErrorKind::NotConnected)?;
+                    passage.send(&message.encode(), &[])?;
+                }
+                Effect::Adopt(listen) => {
+                    let passed = std::mem::take(&mut self.passed);
+                    steps.push(Step::Adopt(listen.into_iter().zip(passed).collect()));
+                }
+                Effect::Listen => steps.push(Step::Listen),
+                Effect::Serve => steps.push(Step::Serve),
+                Effect::Beside(held) => steps.push(Step::Beside(held)),
+                Effect::Learn(learned) => steps.push(Step::Learn(learned)),
+                Effect::Close => *passage = None,
+                // The caller's: it takes another connection.
+                Effect::Visit => {}
+            }
+        }
+        Ok(())
+    }
+
+    /// Lets a successor in where none is there; others hear that it is not their turn.
+    fn welcome(&mut self, now: Micros) {
+        while std::mem::take(&mut self.knocked) {
+            let Some(post) = &self.post else { return };
+            match self.world.welcome(post, Party::Successor) {
+                Ok(passage) if self.after.0.receives() => {
+                    self.after.0.visited(now);
+                    self.after.1 = Some(passage);
+                }
+                Ok(passage) => {
+                    let why = "another successor is here".to_owned();
+                    // It may be gone already.
+                    let _ = passage.send(&Message::Refused { why }.encode(), &[]);
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) => tracing::warn!("upgrade: a successor was not let in: {e}"),
+            }
+            self.knocked = true;
+        }
+    }
+
+    fn hear_after(
+        &mut self,
+        now: Micros,
+        listens: &[(SocketAddr, Option<&W::Listener>)],
+        steps: &mut Vec<Step<W>>,
+    ) {
+        let passes: Vec<_> = listens.iter().filter(|(_, listener)| listener.is_some()).map(|l| l.0).collect();
+        while let (decides, Some(passage)) = &mut self.after {
+            let effects = match hear(passage) {
+                Ok(None) => return,
+                Ok(Some((message, _))) => decides.hear(now, &message, &passes),
+                Err(why) => {
+                    tracing::info!("upgrade: the successor is gone: {why}");
+                    decides.ended()
+                }
+            };
+            self.after_goes(effects, listens, steps);
+        }
+    }
+
+    fn after_goes(
+        &mut self,
+        effects: Vec<predecessor::Effect>,
+        listens: &[(SocketAddr, Option<&W::Listener>)],
+        steps: &mut Vec<Step<W>>,
+    ) {
+        if let Err(e) = self.after_does(effects, listens, steps) {
+            tracing::info!("upgrade: the successor is gone: {e}");
+            let effects = self.after.0.ended();
+            // Nothing is said to one that is gone.
+            let _ = self.after_does(effects, listens, steps);
+        }
+    }
+
+    fn after_does(
+        &mut self,
+        effects: Vec<predecessor::Effect>,
+        listens: &[(SocketAddr, Option<&W::Listener>)],
+        steps: &mut Vec<Step<W>>,
+    ) -> io::Result<()> {
+        use predecessor::Effect;
+        for effect in effects {
+            let passage = self.after.1.as_ref().ok_or(ErrorKind::NotConnected);
+            match effect {
+                Effect::Send(message) => match passage?.send(&message.encode(), &[]) {
+                    // What is left is told again soon.
+                    Err(e) if e.kind() == ErrorKind::WouldBlock && matches!(message, Message::Left(_)) => {}
+                    sent => sent?,
+                },
+                Effect::Pass(message) => {
+                    let Message::Offer { listen, .. } = &message else { continue };
+                    let of = |address: &SocketAddr| {
+                        listens.iter().find(|(at, _)| at == address).and_then(|(_, listener)| *listener)
+                    };
+                    let along: Vec<_> = listen.iter().filter_map(of).collect();
+                    passage?.send(&message.encode(), &along)?;
+                }
+                Effect::Yield => steps.push(Step::Yield),
+                Effect::Resume => steps.push(Step::Resume),
+                Effect::Close => self.after.1 = None,
+            }
+        }
+        Ok(())
+    }
+}
+
+/// The next message, if one has come; why nothing more will.
+type Heard<P> = Result<Option<(Message, Vec<P>)>, String>;
+
+fn hear<P: Passage>(passage: &P) -> Heard<P::Passed> {
+    match passage.receive() {
+        Ok((bytes, _)) if bytes.is_empty() => Err("it ended".to_owned()),
+        Ok((bytes, passed)) => Message::decode(&bytes).map(|m| Some((m, passed))).map_err(|e| e.to_string()),
+        Err(e) if e.kind() == ErrorKind::WouldBlock => Ok(None),
+        Err(e) => Err(e.to_string()),
+    }
+}
--- a/crates/matcher/src/world.rs
+++ b/crates/matcher/src/world.rs
@@ -43,6 +43,38 @@
     fn check(&self) -> io::Result<()>;
 }
 
+/// A connection to the other process of an upgrade: messages go over it whole, and listening sockets along with them. It
+/// ends when this is dropped, and nothing waits.
+pub trait Passage {
+    /// A listening socket.
+    type Listener;
+    /// One that came along and is not listened on yet.
+    type Passed;
+
+    /// Sends a message, with these sockets along.
+    ///
+    /// # Errors
+    /// Those of the system; [`WouldBlock`](io::ErrorKind::WouldBlock) where the other side does not read.
+    fn send(&self, message: &[u8], along: &[&Self::Listener]) -> io::Result<()>;
+
+    /// The next message and what came along with it; an empty one is the end.
+    ///
+    /// # Errors
+    /// Those of the system; [`WouldBlock`](io::ErrorKind::WouldBlock) where none has come.
+    fn receive(&self) -> io::Result<(Vec<u8>, Vec<Self::Passed>)>;
+}
+
+/// Where a process of an upgrade is met: by the folder, the matcher's name and the first address that it listens on.
+#[derive(Debug, Clone)]
+pub struct Meeting {
+    /// A folder that both processes share, and nobody else.
+    pub folder: PathBuf,
+    /// The matcher's name.
+    pub name: String,
+    /// The address.
+    pub address: SocketAddr,
+}
+
 /// Keeps the results of keyed requests, and tells [`Node::kept`](super::Node::kept) of it.
 pub trait Keeper {
     /// Writes what a history decided.
@@ -51,7 +83,10 @@
     /// Reads how a key ended.
     fn recall(&self, now: Micros, id: RequestId, number: u64, key: ScopedKey);
 
-    /// Lets it write what it has and close the store, for a while.
+    /// Lets it write what it has and close the store, in its own time; nothing more is asked of it.
+    fn release(&mut self);
+
+    /// Waits until it has closed the store, for a while.
     fn stop(self);
 }
 
@@ -63,6 +98,10 @@
     type Listener;
     /// A keeper.
     type Keeper: Keeper;
+    /// Where successors come to; they may until it is dropped.
+    type Post;
+    /// A connection to the other process of an upgrade.
+    type Passage: Passage<Listener = Self::Listener>;
 
     /// Microseconds of the Unix clock at the start, and monotonic from there on.
     fn now(&self) -> Micros;
@@ -85,6 +124,36 @@
     /// Those of the system; a refusal may come at once.
     fn connect(&self, to: SocketAddr, party: Party) -> io::Result<Self::Stream>;
 
+    /// Takes up a listening socket that another process passed, where it is one and listens at this address, whose port
+    /// may be 0.
+    ///
+    /// # Errors
+    /// Where it is not, and those of the system.
+    fn adopt(
+        &self,
+        passed: <Self::Passage as Passage>::Passed,
+        address: SocketAddr,
+        place: usize,
+    ) -> io::Result<Self::Listener>;
+
+    /// Lets successors find this process from now on; the node is told of them as of new connections, by this number.
+    ///
+    /// # Errors
+    /// Those of the system.
+    fn post(&self, meeting: &Meeting, place: usize) -> io::Result<Self::Post>;
+
+    /// Accepts a successor that waits, where its user is ours.
+    ///
+    /// # Errors
+    /// [`WouldBlock`](io::ErrorKind::WouldBlock) where none waits, and those of the system.
+    fn welcome(&self, post: &Self::Post, party: Party) -> io::Result<Self::Passage>;
+
+    /// Connects to the process whose place this one is to take.
+    ///
+    /// # Errors
+    /// Where there is none, and those of the system.
+    fn visit(&self, meeting: &Meeting, party: Party) -> io::Result<Self::Passage>;
+
     /// Starts a keeper of results on a folder.
     ///
     /// # Errors
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -154,6 +154,8 @@
 struct Drain {
     last_arrival: Micros,
     stop_at: Micros,
+    /// Another process has our place: callers are not sent elsewhere.
+    succeeded: bool,
 }
 
 /// The overload controller of one server.
@@ -192,6 +194,8 @@
     /// How long a connection is kept that carries nothing.
     kept_idle: f64,
     drain: Option<Drain>,
+    /// Runs, memory and calls of a process whose place we take.
+    beside: (usize, f64, usize),
 }
 
 impl Controller {
@@ -229,6 +233,7 @@
             arrivals: 0.0,
             kept_idle: settings.idle as f64,
             drain: None,
+            beside: (0, 0.0, 0),
             settings,
         }
     }
@@ -265,7 +270,9 @@
                 self.runnable = gauges.runnable;
                 actions.push(Action::Timer { at: self.now + self.period, token: 0 });
             }
-            Event::Drain { stop_at } => self.begin_drain(stop_at, actions),
+            Event::Drain { stop_at } => self.begin_drain(stop_at, false, actions),
+            Event::Succeeded { stop_at } => self.begin_drain(stop_at, true, actions),
+            Event::Beside { running, memory_kb, calls } => self.beside = (running, memory_kb, calls),
             Event::Kept { entries, room } => (self.kept, self.keeps) = (entries, room),
         }
     }
@@ -279,14 +286,22 @@
         actions.push(Action::Timer { at: self.now + self.period, token: 0 });
     }
 
-    /// Leaving: everything is due before the stop, and callers are sent elsewhere.
-    fn begin_drain(&mut self, stop_at: Micros, actions: &mut Vec<Action>) {
+    /// Leaving: everything is due before the stop, and callers are sent elsewhere unless a successor is here.
+    fn begin_drain(&mut self, stop_at: Micros, succeeded: bool, actions: &mut Vec<Action>) {
         let stop_at = stop_at.saturating_sub(2 * self.settings.answer_slack.max(self.period));
-        self.drain = Some(Drain { last_arrival: self.now + self.settings.drain_grace, stop_at });
+        let last_arrival = self.now + self.settings.drain_grace;
+        self.drain = Some(Drain { last_arrival, stop_at, succeeded });
         for record in self.requests.values_mut() {
             record.due = record.due.min(stop_at);
         }
-        actions.push(Action::Health { good: false, from_state: true });
+        if !succeeded {
+            actions.push(Action::Health { good: false, from_state: true });
+        }
+    }
+
+    /// Callers are sent elsewhere.
+    fn leaves(&self) -> bool {
+        self.drain.is_some_and(|drain| !drain.succeeded)
     }
 
     // ---- arrival ----
@@ -519,13 +534,17 @@
     }
 
     fn on_cores(&self) -> usize {
-        self.count_stage(|stage| stage == Stage::Running)
+        self.count_stage(|stage| stage == Stage::Running) + self.beside.0
     }
 
     fn at_calls(&self) -> usize {
         self.count_stage(|stage| matches!(stage, Stage::AwaitingCall | Stage::Calling))
     }
 
+    fn calls_in_hand(&self) -> usize {
+        self.count_stage(|stage| stage == Stage::Calling) + self.beside.2
+    }
+
     /// Runs that go on side by side, those at calls included.
     fn lanes(&self) -> f64 {
         self.run_limit + self.at_calls() as f64
@@ -543,6 +562,7 @@
         };
         self.requests.values().map(of).sum::<f64>()
             + self.entries.len().max(self.kept) as f64 * self.settings.entry_kb
+            + self.beside.1
     }
 
     fn memory_full(&self, more: f64) -> bool {
@@ -569,7 +589,7 @@
         let keep = (1.0 - passed as f64 / self.memory_span()).max(0.0);
         self.tries.iter_mut().chain([&mut self.arrivals]).for_each(|count| *count *= keep);
         let backlog = self.count_stage(|stage| stage == Stage::AwaitingCall);
-        let in_hand = self.count_stage(|stage| stage == Stage::Calling);
+        let in_hand = self.calls_in_hand();
         self.gate.adjust(self.now, passed, backlog, in_hand);
         self.adjust_run_limit();
         self.lag *= 1.0 - LAG_FADE;
@@ -642,7 +662,7 @@
 
     /// Tells callers how welcome they are. Moves by small steps, so that they do not herd.
     fn advertise(&mut self, actions: &mut Vec<Action>) {
-        let welcome = if self.drain.is_some() {
+        let welcome = if self.leaves() {
             0.0
         } else {
             (self.welcome * (1.0 - self.lag / self.held_work().1)).max(ADVERT_FLOOR)
@@ -682,7 +702,7 @@
         let mut queue: Vec<(f64, RequestId)> =
             self.requests.values().filter(waiting).map(|record| (self.merit(record), record.id)).collect();
         queue.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
-        let mut in_hand = self.count_stage(|stage| stage == Stage::Calling);
+        let mut in_hand = self.calls_in_hand();
         let mut ahead = 0.0;
         for (_, id) in queue {
             let record = &self.requests[&id];
@@ -838,7 +858,7 @@
         let (waiting, allowed) = self.held_work();
         let over = (waiting + self.lag - HOLD_SHARE * allowed).max(0.0) * (0.5 + self.next_random());
         // Never without a time to come back: what is refused now may be welcome in the next period.
-        let away = self.drain.is_some() || record.keep && !self.keeps;
+        let away = self.leaves() || record.keep && !self.keeps;
         let avoid_for = if away { Micros::MAX } else { (over as Micros).max(self.period) };
         let avoid_for = avoid_for.min(self.settings.max_avoid);
         let last = record.retry || self.again > LAST_AGAIN || self.lag > LAST_LAG * allowed;
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -235,6 +235,20 @@
         /// When the process is stopped.
         stop_at: Micros,
     },
+    /// The process is to be stopped, and another on the same machine has taken its place: callers come to no harm.
+    Succeeded {
+        /// When the process is stopped.
+        stop_at: Micros,
+    },
+    /// What another process, which this one takes the place of, still has of the machine.
+    Beside {
+        /// Its requests on the cores.
+        running: usize,
+        /// Memory booked for its requests.
+        memory_kb: f64,
+        /// Its calls in the hands of what lies below.
+        calls: usize,
+    },
     /// How the table of kept results stands.
     Kept {
         /// Its entries, each of which takes memory.
--- a/crates/rig/src/host.rs
+++ b/crates/rig/src/host.rs
@@ -6,13 +6,14 @@
 use cleatpulley_keep::memory::Memory;
 use cleatpulley_keep::Options;
 use cleatpulley_matcher::keeping::{Core, Job};
-use cleatpulley_matcher::world::{Keeper, Readiness, Stream, World};
+use cleatpulley_matcher::world::{Keeper, Meeting, Passage, Readiness, Stream, World};
 use cleatpulley_matcher::Party;
 use cleatpulley_policy::interface::{Micros, RequestId};
 use cleatpulley_results::journal::Journal;
 use cleatpulley_results::record::ScopedKey;
 use std::cell::RefCell;
 use std::collections::VecDeque;
+use std::convert::Infallible;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
@@ -61,6 +62,8 @@
             Self::Node(node, Party::Store(number)) => (2, node, number),
             Self::Node(node, Party::Directory) => (3, node, 0),
             Self::Node(node, Party::Target(number)) => (5, node, number),
+            Self::Node(node, Party::Predecessor) => (7, node, 0),
+            Self::Node(node, Party::Successor) => (8, node, 0),
             Self::Node(node, Party::Operator(number)) => (6, node, number),
             Self::Service(service, link) => (4, service, link),
         };
@@ -78,6 +81,8 @@
             3 => Self::Node(index, Party::Directory),
             5 => Self::Node(index, Party::Target(number)),
             6 => Self::Node(index, Party::Operator(number)),
+            7 => Self::Node(index, Party::Predecessor),
+            8 => Self::Node(index, Party::Successor),
             _ => Self::Service(index, number),
         }
     }
@@ -103,6 +108,12 @@
         Self { jobs, core, disk, scheduled: false, stalled_until: 0 }
     }
 
+    /// Does what there is to do and closes the store.
+    pub fn close(&mut self, now: Micros) {
+        self.work(now, &mut Vec::new());
+        self.core.close();
+    }
+
     /// Does what there is to do; returns when it wants to go on.
     pub fn work(&mut self, now: Micros, facts: &mut Vec<Fact>) -> Option<Micros> {
         self.scheduled = false;
@@ -211,16 +222,54 @@
         self.push(Job::Recall(now, id, number, key));
     }
 
+    fn release(&mut self) {
+        let now = self.world.net.borrow().now;
+        self.world.desk.borrow_mut().close(now);
+    }
+
     fn stop(self) {
         let now = self.world.net.borrow().now;
         self.world.desk.borrow_mut().work(now, &mut Vec::new());
     }
 }
 
+pub struct NoPassage(Infallible);
+
+impl Passage for NoPassage {
+    type Listener = VirtualListener;
+    type Passed = Infallible;
+
+    fn send(&self, _: &[u8], _: &[&VirtualListener]) -> io::Result<()> {
+        match self.0 {}
+    }
+
+    fn receive(&self) -> io::Result<(Vec<u8>, Vec<Infallible>)> {
+        match self.0 {}
+    }
+}
+
 impl World for Virtual {
     type Stream = VirtualStream;
     type Listener = VirtualListener;
     type Keeper = VirtualKeeper;
+    type Post = ();
+    type Passage = NoPassage;
+
+    fn adopt(&self, passed: Infallible, _: SocketAddr, _: usize) -> io::Result<VirtualListener> {
+        match passed {}
+    }
+
+    fn post(&self, _: &Meeting, _: usize) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn welcome(&self, (): &(), _: Party) -> io::Result<NoPassage> {
+        Err(io::ErrorKind::WouldBlock.into())
+    }
+
+    fn visit(&self, _: &Meeting, _: Party) -> io::Result<NoPassage> {
+        Err(io::ErrorKind::NotFound.into())
+    }
 
     fn now(&self) -> Micros {
         self.net.borrow().now
--- a/crates/rig/src/sim.rs
+++ b/crates/rig/src/sim.rs
@@ -313,6 +313,7 @@
             listen: machine.frames,
             mgmt: None,
             shares_listener: false,
+            meets_in: None,
             parties: *machine.parties.borrow(),
             seed: self.plan.seed ^ machine.life.rotate_left(32) ^ m as u64,
             stop: STOP,
--- a/src/config.rs
+++ b/src/config.rs
@@ -107,6 +107,7 @@
             listen: self.listen,
             mgmt: self.mgmt,
             shares_listener: false,
+            meets_in: None,
             seed: self.seed,
             stop: self.stop,
             sockets: self.sockets,
--- a/src/main.rs
+++ b/src/main.rs
@@ -104,6 +104,9 @@
     /// The instance's number and token in its fleet, as NUMBER:TOKEN
     #[arg(long, requires = "fleet_socket", value_parser = instance)]
     fleet_instance: Option<(u64, String)>,
+    /// The private folder in which it meets the process whose place it takes, and the one that takes its own
+    #[arg(long, value_name = "FOLDER", env = "TMPDIR")]
+    upgrade_folder: Option<PathBuf>,
     /// Standard input is the listening socket for frames, shared with other processes
     #[arg(long)]
     inherit_listener: bool,
@@ -227,9 +230,18 @@
             let link = link.map(|(socket, (incarnation, token))| FleetLink { socket, incarnation, token });
             let reload = move || Config::load(&sources).map(|config| config.parties());
             let listener = serve.inherit_listener.then(inherited).transpose()?;
-            let options = Options { shares_listener: listener.is_some(), ..config.options(operator) };
-            cleatpulley::matcher::serve(options, Box::new(reload), Hosted { link, listener })
-                .map_err(|e| e.to_string())?;
+            let hosted = link.is_some() || listener.is_some();
+            // A fleet's daemon hands its instances over by itself.
+            let meets_in = serve.upgrade_folder.filter(|_| !hosted);
+            let shares_addresses = meets_in.is_some();
+            let options =
+                Options { shares_listener: listener.is_some(), meets_in, ..config.options(operator) };
+            cleatpulley::matcher::serve(
+                options,
+                Box::new(reload),
+                Hosted { link, listener, shares_addresses },
+            )
+            .map_err(|e| e.to_string())?;
         }
         Command::CheckConfig(sourced) => {
             let (config, operator, _) = sourced.load()?;
