Let the gap follow the backlog of requests that can't go without their call

Seen by a trace of the gate: 20 to 30 requests stood at calls with a bound of 6 and calls of 100 ms, so that gaps of 200 ms stood after each admission; nearly all of those were reads that may go without, whose admissions closed the gate for claims, while claims themselves needed 2.4 calls at once. Now only requests that must call count as waiting for a slot. Tests: no gap from a backlog that needs no call; room left beside a predecessor; nothing told where a successor is here.

--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -588,7 +588,8 @@
         self.entries.retain(|_, until| *until > self.adjusted);
         let keep = (1.0 - passed as f64 / self.memory_span()).max(0.0);
         self.tries.iter_mut().chain([&mut self.arrivals]).for_each(|count| *count *= keep);
-        let backlog = self.count_stage(|stage| stage == Stage::AwaitingCall);
+        let must = |r: &&Record| r.stage == Stage::AwaitingCall && must_call(&self.settings.classes[r.class]);
+        let backlog = self.requests.values().filter(must).count(); // The others go on without one.
         let in_hand = self.calls_in_hand();
         self.gate.adjust(self.now, passed, backlog, in_hand);
         self.adjust_run_limit();
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -177,6 +177,71 @@
     assert!(refused(&script.arrive(22, 0)).is_empty(), "a class that makes no calls is not bound for it");
 }
 
+/// Guards writes against a gap that is made by reads which wait for a call they can go without.
+#[test]
+fn a_backlog_that_needs_no_call_opens_no_gap() {
+    let refusals = |reads_skip: f64| {
+        let mut settings = Settings { cores: 12, memory_kb: 100_000.0, ..settings() };
+        settings.classes.iter_mut().for_each(|class| class.aim = 6 * SECOND);
+        settings.classes[0] = Class { calls: true, skip_worth: reads_skip, ..settings.classes[0] };
+        let mut script = Script::new(settings);
+        stand_at_calls(&mut script, 1..2);
+        script.now += 50 * MS;
+        script.hear(&[called(1, Outcome::Success, 50 * MS), ended(1, 60 * MS)]);
+        for id in 2..12 {
+            script.arrive(id, 0);
+            script.hear(&[Event::CallNeeded(id)]);
+        }
+        script.pass(SECOND);
+        script.hear(&[called(2, Outcome::Success, SECOND), ended(2, SECOND)]);
+        script.hear(&[called(3, Outcome::Success, SECOND), ended(3, SECOND)]);
+        script.pass(400 * MS);
+        let mut refusals = 0;
+        for id in 20..23 {
+            refusals += refused(&script.arrive(id, 2)).len();
+        }
+        refusals
+    };
+    assert_eq!(refusals(0.5), 0);
+    assert!(refusals(0.0) > 0, "where they must call, the next has no room behind them");
+}
+
+#[test]
+fn room_is_left_for_a_process_whose_place_is_taken() {
+    let beside = |running, memory_kb, calls| Event::Beside { running, memory_kb, calls };
+    let mut script = Script::new(settings());
+    script.hear(&[beside(2, 0.0, 0)]);
+    assert!(runs(&script.arrive(1, 0)).is_empty(), "its runs have both cores");
+    assert_eq!(runs(&script.hear(&[beside(1, 0.0, 0)])), [1]);
+    let mut script = Script::new(Settings { memory_kb: 1_000.0, ..settings() });
+    script.hear(&[beside(0, 845.0, 0)]);
+    assert_eq!(refused(&script.arrive(1, 0)), [1], "its requests have the memory");
+    let mut script = Script::new(Settings { cores: 8, ..settings() });
+    script.hear(&[beside(0, 0.0, 4)]);
+    assert!(calls(&stand_at_calls(&mut script, 1..2)).is_empty(), "its calls have the share");
+    assert_eq!(calls(&script.hear(&[beside(0, 0.0, 0)])), [1]);
+}
+
+#[test]
+fn callers_hear_nothing_of_a_notice_to_leave_where_a_successor_is_here() {
+    let mut script = Script::new(Settings { advert: Advert::Weight, ..settings() });
+    let stop_at = script.now + 4 * SECOND;
+    let mut actions = script.hear(&[Event::Succeeded { stop_at }]);
+    script.arrive(1, 0);
+    actions.extend(script.pass(500 * MS));
+    let told = |action: &Action| matches!(action, Action::Health { .. } | Action::Advertise(_));
+    assert!(!actions.iter().any(told), "{actions:?}");
+    script.now += 2 * SECOND;
+    let late = script.arrive(2, 0);
+    let advice =
+        |action: &Action| matches!(action, Action::Refuse { id: 2, avoid_for, .. } if *avoid_for < SECOND);
+    assert!(
+        late.iter().any(advice),
+        "after the grace it is turned away, and may come back at once: {late:?}"
+    );
+    assert_eq!(failed(&script.pass(stop_at - 60 * MS - script.now)), [1], "all is answered before the stop");
+}
+
 #[test]
 fn a_call_is_left_out_where_waiting_would_miss_the_aim() {
     let mut settings = settings();
