--- a/crates/exchange/src/keyed.rs
+++ b/crates/exchange/src/keyed.rs
@@ -2,8 +2,8 @@
 //! decisions and the adapters.
 
 use super::{
-    digest, Answer, Command, Ending, Entry, Event, Exchange, Fact, Fault, History, KeyEffect, Micros, Origin,
-    Outcome, Request, RequestId, ScopedKey, Stage, Verdict,
+    digest, planted, Answer, Bug, Command, Ending, Entry, Event, Exchange, Fact, Fault, History, KeyEffect,
+    Micros, Origin, Outcome, Recovered, Request, RequestId, ScopedKey, Stage, Verdict,
 };
 use std::collections::HashMap;
 
@@ -32,6 +32,8 @@
     /// A request found no room since the controller last decided.
     barred: bool,
     recalls: u64,
+    /// Another process has what is kept.
+    released: bool,
 }
 
 /// A try that came early.
@@ -63,7 +65,16 @@
     /// Those that know nothing yet.
     #[must_use]
     pub fn new(classes: Vec<bool>, required: bool, owner: Owner, history: History) -> Self {
-        Self { classes, required, owner, history, early: Vec::new(), barred: false, recalls: 0 }
+        Self {
+            classes,
+            required,
+            owner,
+            history,
+            early: Vec::new(),
+            barred: false,
+            recalls: 0,
+            released: false,
+        }
     }
 
     /// Meets a request that came with or without a key; notes in it what the controller has to know.
@@ -168,10 +179,31 @@
         own
     }
 
+    /// Lets go of what is kept, where nobody waits for any of it and none of it runs: another process has it from here
+    /// on, and a request with a key fails. False where it is too early for that.
+    pub fn release_keys(&mut self) -> bool {
+        let Some(keys) = &mut self.keys else { return false };
+        let quiet = keys.history.runs() == 0 && keys.history.open() == 0 && keys.early.is_empty();
+        if quiet {
+            keys.history.release();
+            keys.released = true;
+        }
+        quiet
+    }
+
+    /// Takes up again what it has let go of, as a process does that has just started.
+    pub fn take_keys(&mut self, history: History) {
+        if let Some(keys) = &mut self.keys {
+            (keys.history, keys.released) = (history, false);
+        }
+    }
+
     pub(super) fn hear_of_keys(&mut self, now: Micros, fact: Fact, commands: &mut Vec<Command>) {
-        let Some(keys) = &mut self.keys else { return };
+        let Some(keys) = self.keys.as_mut().filter(|keys| !keys.released) else { return };
         match fact {
             Fact::Recovered(found) => {
+                let forgotten = planted(Bug::ResultForgotten) && !found.is_empty();
+                let found = if forgotten { Box::new(Recovered::new(0)) } else { found };
                 keys.history.recovered(*found);
                 self.meet_early(now, commands);
             }
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -11,6 +11,7 @@
 use cleatpulley_policy::interface::{
     Action, Effect, Event, Gauges, Micros, Outcome, Request, RequestId, Settings,
 };
+use cleatpulley_policy::learned::Learned;
 use cleatpulley_policy::plant::{planted, Bug};
 use cleatpulley_policy::Controller;
 use cleatpulley_results::history::{Effect as KeyEffect, History, Recovered, Verdict};
@@ -428,6 +429,20 @@
         (running, self.entries.values().map(of).sum::<u64>() as f64 / 1e3, calls)
     }
 
+    /// What its controller has learned.
+    #[must_use]
+    pub fn learned(&self) -> Learned {
+        self.controller.learned()
+    }
+
+    /// Takes up what the controller of another process has learned on this machine.
+    ///
+    /// # Errors
+    /// The figure that no controller has; nothing is taken up then.
+    pub fn learn(&mut self, learned: &Learned) -> Result<(), String> {
+        self.controller.learn(learned)
+    }
+
     /// What became of requests since the start, by class.
     #[must_use]
     pub fn counts(&self) -> &Counts {
--- a/crates/keep/src/compact.rs
+++ b/crates/keep/src/compact.rs
@@ -347,7 +347,7 @@
     take_out(store, slot).map_err(|e| store.poison(e))
 }
 
-fn take_out<F: Files>(store: &mut Store<F>, slot: u16) -> Result<(), Error> {
+pub(crate) fn take_out<F: Files>(store: &mut Store<F>, slot: u16) -> Result<(), Error> {
     let Some(segment) = store.segments.get_mut(usize::from(slot)).and_then(Option::take) else {
         return Ok(());
     };
--- a/crates/keep/src/opening.rs
+++ b/crates/keep/src/opening.rs
@@ -1,5 +1,6 @@
 //! Opening a store: which files are its own, what to read of them, and the index from all that counts.
 
+use crate::compact;
 use crate::error::Error;
 use crate::files::{Files, Handle};
 use crate::format::{
@@ -87,7 +88,7 @@
         }
         let newest =
             opened.iter().filter(|one| !one.segment.head.compacted).map(|one| one.segment.head.id).max();
-        let mut claims = Vec::new();
+        let (mut claims, mut empty) = (Vec::new(), None);
         for one in opened {
             let id = one.segment.head.id;
             let slot = self.add_segment(one.segment)?;
@@ -107,15 +108,15 @@
                 let (size, max_seq) = (segment.size, segment.max_seq);
                 self.next_seq = self.next_seq.max(max_seq + 1);
                 if writer && Some(id) == newest && size == SEGMENT_HEAD as u64 {
-                    // Nothing was ever written to it: no need for another.
-                    if let Some(segment) = self.segment_mut(slot) {
-                        segment.sealed = false;
-                    }
-                    self.active = Some(slot);
-                    self.durable = SEGMENT_HEAD as u64;
+                    empty = Some(slot);
                 }
             }
         }
+        // Nothing was ever written to it, and nothing may be: a sync of it may have failed before this start, after which
+        // the system forgets what was written there and reports no error for it any more.
+        if let Some(slot) = empty {
+            compact::take_out(self, slot)?;
+        }
         self.settle(claims)?;
         Ok(found)
     }
--- a/crates/matcher/src/front.rs
+++ b/crates/matcher/src/front.rs
@@ -226,11 +226,6 @@
         self.send_away(now);
     }
 
-    /// Nobody is accepted here any more: another process does.
-    pub fn leave_listeners(&mut self) {
-        self.doors.clear();
-    }
-
     /// Holds so many connections from now on. Those above that go where they owe nothing.
     pub fn set_most(&mut self, now: Micros, most: usize, facts: &mut Vec<Fact>) {
         self.most = most.max(1);
--- a/crates/matcher/src/keeping.rs
+++ b/crates/matcher/src/keeping.rs
@@ -24,6 +24,9 @@
 const PIECE: usize = 65_536;
 /// A store that failed is tried again after this time.
 const RETRY: Duration = Duration::from_millis(500);
+/// One that another process has open is tried again after this time, and so often before that counts as a failure.
+const LOCKED: Duration = Duration::from_millis(50);
+const LOCKED_MOST: u32 = 200;
 /// At the end what is not written yet is waited for so long.
 const FAREWELL: Duration = Duration::from_millis(500);
 
@@ -42,17 +45,25 @@
     journal: Option<Journal<F>>,
     recovered: bool,
     well: bool,
+    /// How often another process had the store open since it was last open here.
+    locked: u32,
     /// Results written since the start.
     results: u64,
 }
 
 impl<F: Files> Default for Core<F> {
     fn default() -> Self {
-        Self { journal: None, recovered: false, well: true, results: 0 }
+        Self { journal: None, recovered: false, well: true, locked: 0, results: 0 }
     }
 }
 
 impl<F: Files> Core<F> {
+    /// Another process has the store open, as far as is known.
+    #[must_use]
+    pub fn is_locked(&self) -> bool {
+        self.locked > 0
+    }
+
     /// The store is open.
     #[must_use]
     pub fn is_open(&self) -> bool {
@@ -63,6 +74,15 @@
     pub fn open(&mut self, opened: Result<(Journal<F>, Recovered, Found), Error>, facts: &mut Vec<Fact>) {
         let (mut journal, recovered, found) = match opened {
             Ok(opened) => opened,
+            // The process whose place this one takes lets go of it once its last run has ended. Until then nothing is
+            // known of any key, and requests with keys wait.
+            Err(Error::Locked) if self.locked < LOCKED_MOST => {
+                if self.locked == 0 {
+                    tracing::info!("results: another process has the store open; waits for it");
+                }
+                self.locked += 1;
+                return;
+            }
             Err(e) => return self.fail(&e, facts),
         };
         if !self.recovered {
@@ -85,6 +105,7 @@
             tracing::info!("results: the store takes writes again");
             facts.push(Fact::Keeping(true));
         }
+        self.locked = 0;
         self.journal = Some(journal);
     }
 
@@ -255,7 +276,7 @@
                 let folder = Folder::new(&self.folder, true).map_err(Error::folder);
                 let options = Options { seed: self.seed, ..Options::default() };
                 self.core.open(folder.and_then(|folder| Journal::open(folder, options, now())), &mut facts);
-                open_at = Instant::now() + RETRY;
+                open_at = Instant::now() + if self.core.is_locked() { LOCKED } else { RETRY };
             }
             let rest = match self.core.is_open() {
                 true if more => Duration::ZERO,
--- a/crates/matcher/src/lib.rs
+++ b/crates/matcher/src/lib.rs
@@ -24,7 +24,7 @@
 use cleatpulley_policy::interface::Settings;
 use cleatpulley_policy::plant::{planted, Bug};
 use cleatpulley_protocol::{ajp, mgmt};
-use cleatpulley_upgrade::Held;
+use cleatpulley_upgrade::{snapshot, Held};
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
@@ -38,8 +38,10 @@
 /// of calls is far smaller, and front ends may open connections for half of the descriptors.
 const STORE_SHARE: usize = 16;
 const STORE: std::ops::RangeInclusive<usize> = 8..=64;
+/// What a front end sent before it read that it should not may come so long after the hand-over.
+const CROSSING: Micros = 60_000;
 /// A successor leaves room for its predecessor, and has at least so many connections.
-const FEWEST: usize = 16;
+const FEWEST: usize = 12;
 /// A process whose successor is there is stopped so long after the longest wait of a caller, of which no more than that
 /// counts.
 const AFTER_LONGEST: Micros = 700_000;
@@ -179,6 +181,10 @@
     store: store::Store<W>,
     directory: directory::Directory<W>,
     keeper: Option<W::Keeper>,
+    /// The folder and the bounds of what is kept.
+    kept_in: Option<(PathBuf, Bounds)>,
+    /// Since when a successor takes clients, and whether it has the store of results.
+    yielded: Option<(Micros, bool)>,
     facts: Vec<Fact>,
     commands: Vec<Command>,
     /// When the process is stopped, once the notice to leave has come.
@@ -187,10 +193,14 @@
     upgrade: Option<upgrade::Upgrade<W>>,
     /// Connections of the client side that it may hold, where no other process holds any.
     most: usize,
+    /// What the process whose place it has taken still has of the machine.
+    beside: Held,
     /// The longest that a caller waits.
     longest: Micros,
     /// Another process had its place when it was told to leave.
     succeeded: bool,
+    /// It goes on with what its predecessor had learned.
+    learned: bool,
     fault: Option<io::Error>,
     /// When the runtime came up, as it last said.
     up_since: Option<Micros>,
@@ -245,14 +255,17 @@
             options.mgmt.map(|address| operators::Operators::listen(world.clone(), address)).transpose()?;
         let longest = options.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
         let warming = (options.settings.cold_speed, options.settings.warm_after);
+        let mut kept_in = None;
         let (exchange, keeper) = match options.results {
             None => (Exchange::new(options.settings, options.seed), None),
             Some(results) => {
-                let keeper = world.keeper(results.folder, results.bounds.seed)?;
                 let Results { classes, required, owner, bounds, entry_kb, .. } = results;
+                kept_in = Some((results.folder.clone(), bounds));
+                // A process that takes another's place has the store once that one has let go of it.
+                let keeper = alone.then(|| world.keeper(results.folder, bounds.seed)).transpose()?;
                 let keys = Keys::new(classes, required, owner, History::new(bounds));
                 let settings = Settings { entry_kb, ..options.settings };
-                (Exchange::with_keys(settings, options.seed, keys), Some(keeper))
+                (Exchange::with_keys(settings, options.seed, keys), keeper)
             }
         };
         let Parties { runtime, store, lookup } = options.parties;
@@ -269,14 +282,18 @@
             store: store::Store::new(world.clone(), store, options.store_speaks, calls),
             directory: directory::Directory::new(world.clone(), lookup, &options.name),
             keeper,
+            kept_in,
+            yielded: None,
             facts: Vec::new(),
             commands: Vec::new(),
             stop_at: None,
             shares_listener: options.shares_listener,
             upgrade,
             most,
+            beside: Held::default(),
             longest,
             succeeded: false,
+            learned: false,
             fault: None,
             up_since: None,
             warming,
@@ -389,9 +406,11 @@
         self.stop_at.is_some_and(|at| {
             let now = self.world.now();
             let quiet = self.exchange.unanswered() == 0 && self.front.connections() == 0;
-            let quiet = quiet || planted(Bug::LeftEarly);
-            // Where a successor accepts, nobody can come here any more.
-            now >= at || (quiet && self.succeeded) || (quiet && now + FAREWELL / 2 >= at)
+            let quiet = quiet || planted(Bug::LeftEarly) || (self.succeeded && planted(Bug::SucceededEarly));
+            // Where a successor accepts, nobody can come here any more. One whose own predecessor is still there waits for
+            // its end, which would else take it for dead, and whose share the successor hears of only here.
+            let before = self.upgrade.as_ref().is_some_and(upgrade::Upgrade::has_predecessor);
+            now >= at || (quiet && self.succeeded && !before) || (quiet && now + FAREWELL / 2 >= at)
         })
     }
 
@@ -415,6 +434,7 @@
             self.exchange.hear(now, fact, &mut self.commands);
         }
         self.exchange.advance(now, &mut self.commands);
+        self.pass_store_on(now);
         for command in std::mem::take(&mut self.commands) {
             self.carry_out(now, command);
         }
@@ -431,7 +451,9 @@
         let passes = self.upgrade.as_ref().and_then(upgrade::Upgrade::next);
         let next =
             [self.exchange.next(), self.runtime.next(), self.store.next(), self.stop_at, asked, passes];
-        let next = next.into_iter().flatten().chain([self.front.next(), self.directory.next()]).min();
+        let store = self.yielded.filter(|(since, passed)| !passed && now < since + CROSSING);
+        let next = next.into_iter().flatten().chain(store.map(|(since, _)| since + CROSSING));
+        let next = next.chain([self.front.next(), self.directory.next()]).min();
         next.unwrap_or(0)
     }
 
@@ -442,8 +464,8 @@
         let stop_at = now + stop;
         self.stop_at = Some(stop_at);
         self.succeeded = true;
+        // Its listening sockets stay, in case the successor dies: nothing is accepted from them before that.
         self.facts.push(Fact::Succeeded { stop_at });
-        self.front.leave_listeners();
     }
 
     /// Goes on with taking another process's place, or giving up its own.
@@ -460,6 +482,7 @@
 
     fn take_step(&mut self, now: Micros, step: upgrade::Step<W>, upgrade: &mut upgrade::Upgrade<W>) {
         match step {
+            upgrade::Step::Adopt(_) if planted(Bug::SocketDropped) => self.listen(),
             upgrade::Step::Adopt(passed) => {
                 for (address, passed) in passed {
                     let adopted = self.front.adopt(address, |place| self.world.adopt(passed, address, place));
@@ -483,28 +506,51 @@
                     upgrade.post(address);
                 }
             }
+            upgrade::Step::OpenStore => self.open_store(),
+            upgrade::Step::Beside(_) if planted(Bug::ShareTwice) => {}
             upgrade::Step::Beside(held) => {
-                let Held { running, memory_kb, calls, descriptors } = held;
+                let Held { running, memory_kb, calls, .. } = held;
+                self.beside = held;
                 self.facts.push(Fact::Beside { running, memory_kb, calls });
-                // What the other still has, and what each process needs for itself.
-                let taken = if descriptors == 0 { 0 } else { descriptors + SPARE / 2 };
-                let most = self.most.saturating_sub(taken).max(FEWEST);
-                self.front.set_most(now, most, &mut self.facts);
+                self.share_descriptors(now);
+            }
+            upgrade::Step::Learn(text) => {
+                let site = snapshot::site(&self.name, &self.class_names);
+                let learned = snapshot::decode(site, now, &text).map_err(|e| e.to_string());
+                match learned.and_then(|learned| self.exchange.learn(&learned)) {
+                    Ok(()) => {
+                        self.learned = true;
+                        tracing::info!("upgrade: goes on with what the predecessor had learned");
+                    }
+                    Err(e) => {
+                        tracing::warn!("upgrade: what the predecessor had learned is not believed: {e}")
+                    }
+                }
             }
-            upgrade::Step::Learn(_) => {}
             upgrade::Step::Yield => {
                 tracing::info!("upgrade: a successor takes clients from here on");
+                self.yielded = Some((now, false));
                 self.front.give_way(now);
-                self.front.set_most(now, self.most / 2, &mut self.facts);
-                upgrade.yielded(self.held(), String::new());
-            }
-            upgrade::Step::Resume if self.succeeded => {
-                tracing::error!("upgrade: the successor is gone, and this process leaves as well");
+                self.share_descriptors(now);
+                let site = snapshot::site(&self.name, &self.class_names);
+                upgrade.yielded(self.held(), snapshot::encode(site, now, &self.exchange.learned()));
             }
             upgrade::Step::Resume => {
-                tracing::warn!("upgrade: the successor is gone; takes clients again");
+                if let (Some((_, true)), Some((_, bounds))) = (self.yielded.take(), &self.kept_in) {
+                    self.exchange.take_keys(History::new(*bounds));
+                    self.close();
+                    self.open_store();
+                }
                 self.front.resume();
-                self.front.set_most(now, self.most, &mut self.facts);
+                self.share_descriptors(now);
+                if std::mem::take(&mut self.succeeded) {
+                    tracing::error!("upgrade: the successor is gone, and this process leaves as well");
+                    // From here on it is an ordinary drain: callers are sent elsewhere.
+                    self.facts.extend(self.stop_at.map(|stop_at| Fact::Drain { stop_at }));
+                    self.front.leave(now);
+                    return;
+                }
+                tracing::warn!("upgrade: the successor is gone; takes clients again");
                 let first = self.front.listeners().next();
                 if let Some((address, _)) = first {
                     upgrade.post(address);
@@ -513,6 +559,52 @@
         }
     }
 
+    /// Opens the store of results, where there is one and it is not open.
+    fn open_store(&mut self) {
+        let Some((folder, bounds)) = self.kept_in.clone().filter(|_| self.keeper.is_none()) else { return };
+        match self.world.keeper(folder, bounds.seed) {
+            Ok(keeper) => self.keeper = Some(keeper),
+            Err(e) => {
+                tracing::error!("results: nothing can be kept: {e}");
+                self.facts.push(Fact::Keeping(false));
+            }
+        }
+    }
+
+    /// Lets go of the store of results once a successor is here, what crossed the hand-over has come, and no key is at
+    /// work: it has one owner at a time.
+    fn pass_store_on(&mut self, now: Micros) {
+        let Some((since, false)) = self.yielded else { return };
+        if self.keeper.is_some() && now >= since + CROSSING && self.exchange.release_keys() {
+            tracing::info!("upgrade: the successor has the store of results from here on");
+            self.yielded = Some((since, true));
+            if let Some(keeper) = &mut self.keeper {
+                keeper.release();
+            }
+            if let Some(upgrade) = &mut self.upgrade {
+                upgrade.store_free();
+            }
+        }
+    }
+
+    /// Holds no more descriptors than leaves room for the other processes of this matcher: all of them together have
+    /// those of one.
+    fn share_descriptors(&mut self, now: Micros) {
+        let beside = self.beside.descriptors > 0;
+        // What the other still has, and what each process needs for itself.
+        let taken = if beside { self.beside.descriptors + SPARE / 2 } else { 0 };
+        let most = self.most.saturating_sub(taken);
+        let (most, asked) = match (self.yielded, beside) {
+            (Some(_), _) => (most.min(self.most / 3), operators::PLACES / 4),
+            (None, true) => (most, operators::PLACES / 2),
+            (None, false) => (most, operators::PLACES),
+        };
+        self.front.set_most(now, most.max(FEWEST.min(self.most)), &mut self.facts);
+        if let Some(operators) = &mut self.operators {
+            operators.set_most(asked);
+        }
+    }
+
     fn listen(&mut self) {
         match self.front.listen_expected() {
             Ok(addresses) => {
@@ -524,10 +616,16 @@
         }
     }
 
-    /// What it has of the machine.
+    /// What it has of the machine, and what the process has whose place it has taken: its successor hears of that one
+    /// only here.
     fn held(&self) -> Held {
         let (running, memory_kb, calls) = self.exchange.held();
-        Held { running, memory_kb, calls, descriptors: self.census().descriptors }
+        Held {
+            running: running + self.beside.running,
+            memory_kb: memory_kb + self.beside.memory_kb,
+            calls: calls + self.beside.calls,
+            descriptors: self.census().descriptors + self.beside.descriptors,
+        }
     }
 
     fn answer_operators(&mut self, now: Micros) -> bool {
@@ -548,6 +646,12 @@
         self.upgrade.as_ref().is_none_or(upgrade::Upgrade::serves)
     }
 
+    /// It goes on with what its predecessor had learned.
+    #[must_use]
+    pub fn has_learned(&self) -> bool {
+        self.learned
+    }
+
     /// What it can't go on with.
     pub fn fault(&mut self) -> Option<io::Error> {
         self.fault.take()
--- a/crates/matcher/src/operators.rs
+++ b/crates/matcher/src/operators.rs
@@ -37,6 +37,7 @@
     acceptable: bool,
     accept_at: Micros,
     callers: BTreeMap<u64, Caller<W>>,
+    most: usize,
     noted: Vec<u64>,
     numbers: u64,
 }
@@ -52,7 +53,15 @@
             .map_err(|e| io::Error::new(e.kind(), format!("mgmt: {address}: {e}")))?;
         tracing::info!("operators are answered on {address}");
         let (callers, noted) = (BTreeMap::new(), Vec::new());
-        Ok(Self { world, listener, acceptable: true, accept_at: 0, callers, noted, numbers: 0 })
+        Ok(Self { world, listener, acceptable: true, accept_at: 0, callers, most: PLACES, noted, numbers: 0 })
+    }
+
+    /// Has so many places from now on; who has waited longest beyond them goes.
+    pub fn set_most(&mut self, most: usize) {
+        self.most = most.max(1);
+        while self.callers.len() > self.most {
+            self.callers.pop_first();
+        }
     }
 
     /// Connections that stand.
@@ -107,7 +116,7 @@
             if !self.acceptable || now < self.accept_at {
                 return;
             }
-            if self.callers.len() >= PLACES && !self.make_room(now) {
+            if self.callers.len() >= self.most && !self.make_room(now) {
                 self.accept_at = now + FAIR;
                 return;
             }
--- a/crates/matcher/src/upgrade.rs
+++ b/crates/matcher/src/upgrade.rs
@@ -23,6 +23,8 @@
     Listen,
     /// Accept from here on.
     Serve,
+    /// Open the store of results.
+    OpenStore,
     /// The other process has so much of the machine.
     Beside(Held),
     /// What the other process has learned.
@@ -87,11 +89,19 @@
         self.after.0.yielded()
     }
 
+    /// The process whose place it has taken is still there.
+    #[must_use]
+    pub fn has_predecessor(&self) -> bool {
+        self.before.as_ref().is_some_and(|(_, passage)| passage.is_some())
+    }
+
     /// Connections that stand, and where successors come to.
     #[must_use]
     pub fn descriptors(&self) -> usize {
-        let before = self.before.as_ref().is_some_and(|(_, passage)| passage.is_some());
-        [self.post.is_some(), before, self.after.1.is_some()].into_iter().filter(|there| *there).count()
+        [self.post.is_some(), self.has_predecessor(), self.after.1.is_some()]
+            .into_iter()
+            .filter(|there| *there)
+            .count()
     }
 
     /// Successors find this process from now on, at this address.
@@ -136,6 +146,12 @@
         self.after_goes(effects, &[], &mut Vec::new());
     }
 
+    /// The node has let go of the store of results.
+    pub fn store_free(&mut self) {
+        let effects = self.after.0.store_free();
+        self.after_goes(effects, &[], &mut Vec::new());
+    }
+
     /// When [`turn`](Self::turn) has something to do.
     #[must_use]
     pub fn next(&self) -> Option<Micros> {
@@ -203,6 +219,7 @@
                 }
                 Effect::Listen => steps.push(Step::Listen),
                 Effect::Serve => steps.push(Step::Serve),
+                Effect::OpenStore => steps.push(Step::OpenStore),
                 Effect::Beside(held) => steps.push(Step::Beside(held)),
                 Effect::Learn(learned) => steps.push(Step::Learn(learned)),
                 Effect::Close => *passage = None,
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -108,34 +108,34 @@
 }
 
 #[derive(Debug, Clone)]
-struct Pace {
+pub(crate) struct Pace {
     /// Smoothed time of a run of usual size, calls included.
-    run_time: f64,
+    pub(crate) run_time: f64,
     /// Smoothed hint.
-    work: f64,
+    pub(crate) work: f64,
     /// The longest time left that a first try was seen with; none yet is 0.
-    patience: Micros,
+    pub(crate) patience: Micros,
 }
 
 /// The destination below: calls in hand, their bound, and the gap.
 #[derive(Debug, Clone, Default)]
-struct Gate {
-    bound: f64,
+pub(crate) struct Gate {
+    pub(crate) bound: f64,
     least: f64,
     /// Calls in hand that are ours as a mean over `span`.
-    share: f64,
+    pub(crate) share: f64,
     span: Micros,
     /// Decisions are no closer than this: shorter latencies differ by chance.
     period: Micros,
     /// Call time that the share, less a margin, still allows, in microseconds.
     budget: f64,
-    sqlen: f64,
-    gap: f64,
+    pub(crate) sqlen: f64,
+    pub(crate) gap: f64,
     /// The last admission, and whether it opened a gap.
     admitted: Micros,
     gapped: bool,
-    latency: f64,
-    usual: f64,
+    pub(crate) latency: f64,
+    pub(crate) usual: f64,
     falters: bool,
     halved_at: Micros,
     /// Calls that ended without any word from below since the last that had one, and when the latest of those
@@ -173,21 +173,21 @@
     /// Entries of a table that is kept for us, and whether it takes more.
     kept: usize,
     keeps: bool,
-    paces: Vec<Pace>,
+    pub(crate) paces: Vec<Pace>,
     /// First tries of each tenant, fading over the memory span.
     tries: Vec<f64>,
-    gate: Gate,
-    run_limit: f64,
+    pub(crate) gate: Gate,
+    pub(crate) run_limit: f64,
     runnable: Option<f64>,
     /// When a run last ended or began to wait, or nothing was running.
     progress: Micros,
     /// Smoothed time that requests wait unread.
-    lag: f64,
+    pub(crate) lag: f64,
     /// Smoothed share of further tries among arrivals.
-    again: f64,
-    cut: f64,
+    pub(crate) again: f64,
+    pub(crate) cut: f64,
     ranked: VecDeque<f64>,
-    welcome: f64,
+    pub(crate) welcome: f64,
     advertised: f64,
     /// Requests read, fading over the memory span.
     arrivals: f64,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -62,6 +62,7 @@
 
 pub mod balance;
 pub mod interface;
+pub mod learned;
 pub mod plant;
 pub mod settings;
 
--- a/crates/policy/src/plant.rs
+++ b/crates/policy/src/plant.rs
@@ -41,11 +41,23 @@
     EntryDropped,
     /// Silent callers at the operators' address keep their places.
     OperatorsStarved,
+    /// A listening socket that was passed is not taken up.
+    SocketDropped,
+    /// A successor leaves no room for what its predecessor still has.
+    ShareTwice,
+    /// What a store held before is not taken up.
+    ResultForgotten,
+    /// A store of results that another process has open is opened all the same.
+    LockIgnored,
+    /// A process whose successor is there ends without answering what it read.
+    SucceededEarly,
+    /// A snapshot is believed whatever its checksum.
+    TornBelieved,
 }
 
 impl Bug {
     /// All of them.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 23] = [
         Self::AnswerTwice,
         Self::PlaceLeaked,
         Self::DueLate,
@@ -63,6 +75,12 @@
         Self::QueueLost,
         Self::EntryDropped,
         Self::OperatorsStarved,
+        Self::SocketDropped,
+        Self::ShareTwice,
+        Self::ResultForgotten,
+        Self::LockIgnored,
+        Self::SucceededEarly,
+        Self::TornBelieved,
     ];
 }
 
--- a/crates/results/src/history.rs
+++ b/crates/results/src/history.rs
@@ -225,6 +225,11 @@
         }
     }
 
+    /// Another process has the store from here on: nothing is known here of any key, and none may run.
+    pub fn release(&mut self) {
+        (self.ready, self.well) = (false, false);
+    }
+
     /// Keys that are remembered.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/rig/src/front.rs
+++ b/crates/rig/src/front.rs
@@ -154,6 +154,8 @@
     pub news: Option<Vec<u64>>,
     /// Tries that were given up because nobody accepted their connection.
     forgotten: HashSet<u64>,
+    /// Tries whose connection was refused, and where, until that is judged.
+    pub refused: Vec<(usize, u64)>,
     /// Connections that were broken on purpose.
     pub excused: HashSet<Link>,
     /// Asked, served and refused, tries and repeats among them.
@@ -195,6 +197,7 @@
             stray: 0,
             news: None,
             forgotten: HashSet::new(),
+            refused: Vec::new(),
             excused: HashSet::new(),
             counts: [0; 5],
         }
@@ -221,11 +224,18 @@
         }
     }
 
-    /// Connections to a matcher that were ended on purpose.
-    pub fn excuse(&mut self, matcher: usize) {
+    /// Connections to a matcher.
+    #[must_use]
+    pub fn links(&self, matcher: usize) -> Vec<Link> {
         let lines = self.lines.iter().filter(|(_, line)| line.matcher == matcher).map(|(link, _)| *link);
         let ajp = self.ajp.iter().filter(|(_, line)| line.matcher == matcher).map(|(link, _)| *link);
-        self.excused.extend(lines.chain(ajp));
+        lines.chain(ajp).collect()
+    }
+
+    /// Connections to a matcher that were ended on purpose.
+    pub fn excuse(&mut self, matcher: usize) {
+        let links = self.links(matcher);
+        self.excused.extend(links);
     }
 
     /// Gives up a try that never reached its matcher.
@@ -462,6 +472,7 @@
 
     fn unreachable(&mut self, now: Micros, id: u64) {
         let Some(one) = self.open.remove(&id) else { return };
+        self.refused.push((one.matcher, id));
         self.dues.remove(&(one.due, id));
         self.counts[4] += 1;
         self.avoid[one.matcher] = now + 200 * MS;
--- a/crates/rig/src/host.rs
+++ b/crates/rig/src/host.rs
@@ -1,19 +1,20 @@
 //! Matchers' host in the virtual world: sockets of the virtual network, its clock, and a keeper whose disk is in memory.
 
+use crate::hall::{Hall, VirtualPassage, VirtualPassed, VirtualPost};
 use crate::net::{EndId, Net, NetEvent};
 use cleatpulley_exchange::history::Effect;
 use cleatpulley_exchange::Fact;
 use cleatpulley_keep::memory::Memory;
-use cleatpulley_keep::Options;
+use cleatpulley_keep::{Error, Options};
 use cleatpulley_matcher::keeping::{Core, Job};
-use cleatpulley_matcher::world::{Keeper, Meeting, Passage, Readiness, Stream, World};
+use cleatpulley_matcher::world::{Keeper, Meeting, Readiness, Stream, World};
 use cleatpulley_matcher::Party;
 use cleatpulley_policy::interface::{Micros, RequestId};
+use cleatpulley_policy::plant::{planted, Bug};
 use cleatpulley_results::journal::Journal;
 use cleatpulley_results::record::ScopedKey;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::convert::Infallible;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
@@ -36,6 +37,12 @@
     Undo(usize),
     /// A replaced matcher comes back.
     Revive(usize, u64),
+    /// Somebody has come to a matcher's process, or something was said to it, on their way to take a place.
+    Passage(usize, u64),
+    /// A process is looked after that is to take another's place.
+    Rollout(usize),
+    /// Operators ask.
+    Inspect,
 }
 
 /// The network, shared by all who are on it.
@@ -44,13 +51,15 @@
 /// Who owns an end of a connection.
 #[derive(Debug, Clone, Copy)]
 pub enum Owner {
-    /// A matcher's party.
+    /// The party of a matcher's process, by its slot.
     Node(usize, Party),
     /// A link of a service.
     Service(usize, u64),
 }
 
 const NUMBER: u64 = (1 << 48) - 1;
+/// A store that another process has open is tried again after this time.
+const LOCKED: Micros = 50_000;
 
 impl Owner {
     /// As the network has it.
@@ -88,8 +97,15 @@
     }
 }
 
+/// Which process has a disk's store open, by its life.
+pub type Lock = Rc<Cell<Option<u64>>>;
+
 /// A matcher's keeper, as its host has it.
 pub struct Desk {
+    lock: Lock,
+    life: u64,
+    /// It has closed the store, and nothing more is asked of it.
+    released: bool,
     /// What it has to do.
     pub jobs: VecDeque<Job>,
     core: Core<Memory>,
@@ -101,27 +117,46 @@
 }
 
 impl Desk {
-    /// One on this disk, which a process before may have left.
+    /// One of a process on this disk, which a process before may have left.
     #[must_use]
-    pub fn new(disk: Memory) -> Self {
+    pub fn new(disk: Memory, lock: Lock, life: u64) -> Self {
         let (jobs, core) = (VecDeque::new(), Core::default());
-        Self { jobs, core, disk, scheduled: false, stalled_until: 0 }
+        Self { lock, life, released: false, jobs, core, disk, scheduled: false, stalled_until: 0 }
+    }
+
+    /// Its process is gone: the system opens the lock.
+    pub fn abandon(&self) {
+        if self.lock.get() == Some(self.life) {
+            self.lock.set(None);
+        }
     }
 
     /// Does what there is to do and closes the store.
     pub fn close(&mut self, now: Micros) {
         self.work(now, &mut Vec::new());
         self.core.close();
+        self.abandon();
+        self.released = true;
     }
 
     /// Does what there is to do; returns when it wants to go on.
     pub fn work(&mut self, now: Micros, facts: &mut Vec<Fact>) -> Option<Micros> {
         self.scheduled = false;
+        if self.released {
+            return None;
+        }
         if now < self.stalled_until {
             self.scheduled = true;
             return Some(self.stalled_until);
         }
         if !self.core.is_open() {
+            let taken = self.lock.get().is_some_and(|life| life != self.life);
+            if taken && !planted(Bug::LockIgnored) {
+                self.core.open(Err(Error::Locked), facts);
+                self.scheduled = true;
+                return Some(now + LOCKED);
+            }
+            self.lock.set(Some(self.life));
             self.disk.release();
             let options = Options { segment_bytes: 16_384, ..Options::default() };
             let opened = Journal::open(self.disk.clone(), options, now);
@@ -147,6 +182,10 @@
     pub node: usize,
     /// Its life.
     pub life: u64,
+    /// Its number among all processes that are there at a time.
+    pub slot: usize,
+    /// Where the machine's processes meet.
+    pub hall: Rc<RefCell<Hall>>,
     /// Its process, for descriptors.
     pub process: usize,
     /// Its keeper.
@@ -187,11 +226,24 @@
 pub struct VirtualListener {
     net: Shared,
     address: SocketAddr,
+    number: u64,
+    process: usize,
 }
 
 impl Drop for VirtualListener {
     fn drop(&mut self) {
-        self.net.borrow_mut().unlisten(self.address);
+        self.net.borrow_mut().close_door(self.address, self.number, self.process);
+    }
+}
+
+impl VirtualListener {
+    pub(crate) fn new(net: Shared, address: SocketAddr, number: u64, process: usize) -> Self {
+        Self { net, address, number, process }
+    }
+
+    /// Where it listens, and its number there.
+    pub(crate) fn at(&self) -> (SocketAddr, u64) {
+        (self.address, self.number)
     }
 }
 
@@ -233,42 +285,27 @@
     }
 }
 
-pub struct NoPassage(Infallible);
-
-impl Passage for NoPassage {
-    type Listener = VirtualListener;
-    type Passed = Infallible;
-
-    fn send(&self, _: &[u8], _: &[&VirtualListener]) -> io::Result<()> {
-        match self.0 {}
-    }
-
-    fn receive(&self) -> io::Result<(Vec<u8>, Vec<Infallible>)> {
-        match self.0 {}
-    }
-}
-
 impl World for Virtual {
     type Stream = VirtualStream;
     type Listener = VirtualListener;
     type Keeper = VirtualKeeper;
-    type Post = ();
-    type Passage = NoPassage;
+    type Post = VirtualPost;
+    type Passage = VirtualPassage;
 
-    fn adopt(&self, passed: Infallible, _: SocketAddr, _: usize) -> io::Result<VirtualListener> {
-        match passed {}
+    fn adopt(&self, passed: VirtualPassed, address: SocketAddr, _: usize) -> io::Result<VirtualListener> {
+        passed.take_up(address, self.process)
     }
 
-    fn post(&self, _: &Meeting, _: usize) -> io::Result<()> {
-        Ok(())
+    fn post(&self, _: &Meeting, _: usize) -> io::Result<VirtualPost> {
+        VirtualPost::new(self)
     }
 
-    fn welcome(&self, (): &(), _: Party) -> io::Result<NoPassage> {
-        Err(io::ErrorKind::WouldBlock.into())
+    fn welcome(&self, post: &VirtualPost, _: Party) -> io::Result<VirtualPassage> {
+        post.welcome(self)
     }
 
-    fn visit(&self, _: &Meeting, _: Party) -> io::Result<NoPassage> {
-        Err(io::ErrorKind::NotFound.into())
+    fn visit(&self, _: &Meeting, _: Party) -> io::Result<VirtualPassage> {
+        VirtualPassage::visit(self)
     }
 
     fn now(&self) -> Micros {
@@ -276,19 +313,21 @@
     }
 
     fn listen(&self, address: SocketAddr, _place: usize) -> io::Result<(VirtualListener, SocketAddr)> {
-        self.net.borrow_mut().listen(address, self.process)?;
-        Ok((VirtualListener { net: Rc::clone(&self.net), address }, address))
+        let number = self.net.borrow_mut().listen(address, self.process, true)?;
+        let (net, process) = (Rc::clone(&self.net), self.process);
+        Ok((VirtualListener { net, address, number, process }, address))
     }
 
     fn accept(&self, listener: &VirtualListener, party: Party) -> io::Result<(VirtualStream, IpAddr)> {
         let mut net = self.net.borrow_mut();
-        let end = net.accept(listener.address, Owner::Node(self.node, party).encode())?;
+        let owner = Owner::Node(self.slot, party).encode();
+        let end = net.accept_at(listener.address, listener.number, self.process, owner)?;
         let address = net.address();
         Ok((VirtualStream { net: Rc::clone(&self.net), end }, address))
     }
 
     fn connect(&self, to: SocketAddr, party: Party) -> io::Result<VirtualStream> {
-        let owner = Owner::Node(self.node, party).encode();
+        let owner = Owner::Node(self.slot, party).encode();
         let end = self.net.borrow_mut().connect(to, self.process, owner)?;
         Ok(VirtualStream { net: Rc::clone(&self.net), end })
     }
@@ -296,7 +335,9 @@
     fn keeper(&self, _folder: PathBuf, _seed: u64) -> io::Result<VirtualKeeper> {
         let mut net = self.net.borrow_mut();
         let at = net.now + 3_000;
-        self.desk.borrow_mut().scheduled = true;
+        let mut desk = self.desk.borrow_mut();
+        desk.abandon();
+        (desk.scheduled, desk.released, desk.core) = (true, false, Core::default());
         net.queue.push(at, Event::Keeper(self.node, self.life));
         drop(net);
         Ok(VirtualKeeper { world: self.clone() })
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -5,12 +5,17 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod faults;
 pub mod front;
+pub mod hall;
 pub mod host;
+mod inspector;
+mod machine;
 pub mod net;
 pub mod parties;
 pub mod plan;
 pub mod queue;
+mod rollout;
 mod rude;
 mod rules;
 pub mod seeds;
--- /dev/null
+++ b/crates/rig/src/machine.rs
@@ -0,0 +1,472 @@
+//! A matcher's machine: its processes, what they share, and how they come and go.
+
+use crate::front::FIELD;
+use crate::hall::Hall;
+use crate::host::{Desk, Event, Lock, Virtual};
+use crate::sim::{Listens, Sim, MS, RUNTIMES, SECOND, STOP};
+use cleatpulley_exchange::history::Bounds;
+use cleatpulley_exchange::Owner as KeyOwner;
+use cleatpulley_keep::memory::Memory;
+use cleatpulley_matcher::{store::Speaks, AjpFront, Node, Options, Parties, Results};
+use cleatpulley_policy::interface::{Effect as ClassEffect, Micros};
+use cleatpulley_policy::settings::BootInfo;
+use cleatpulley_protocol::ajp::server::{Defaults, Figures, Settings as AjpSettings, Source};
+use cleatpulley_protocol::ajp::table::{Entry, Table};
+use cleatpulley_standin::runtime::Runtime;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+
+/// So many turns at one moment are a loop at full speed.
+const SPIN: u32 = 3_000;
+/// Processes of a machine that are told apart at a time.
+const SLOTS: usize = 16;
+
+/// An address of the virtual network.
+pub(crate) fn at(host: u8, port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, host], port))
+}
+
+fn mgmt_of(m: usize, seat: usize) -> SocketAddr {
+    at(10 + m as u8, 9_000 + seat as u16)
+}
+
+/// The runtime's addresses for the process in a seat: it moves from one to the other with each new configuration.
+fn runtimes_of(m: usize, seat: usize) -> [SocketAddr; 2] {
+    let port = 7_300 + 2 * seat as u16;
+    [at(10 + m as u8, port), at(10 + m as u8, port + 1)]
+}
+
+/// A process of a matcher.
+pub(crate) struct Proc {
+    pub node: Node<Virtual>,
+    pub life: u64,
+    /// Its descriptors.
+    pub process: usize,
+    /// Each process that takes another's place has a seat of its own, and with it an address of the runtime.
+    pub seat: usize,
+    pub mgmt: SocketAddr,
+    which: usize,
+    pub parties: Rc<RefCell<Parties>>,
+    pub desk: Rc<RefCell<Desk>>,
+    /// A turn is due at once.
+    pending: bool,
+    wake: Micros,
+    turns: (Micros, u32),
+    /// It was told to leave to its successor.
+    pub told_at: Option<Micros>,
+}
+
+/// A matcher's machine.
+pub(crate) struct Machine {
+    number: usize,
+    /// In the order of their starts.
+    pub procs: Vec<Proc>,
+    /// The life of the process that was started last.
+    pub life: u64,
+    seat: usize,
+    pub frames: SocketAddr,
+    pub ajp: SocketAddr,
+    pub hall: Rc<RefCell<Hall>>,
+    pub disk: Memory,
+    pub lock: Lock,
+    pub paused: Option<Micros>,
+    /// When the matcher was told to leave, without a successor.
+    pub left_at: Option<Micros>,
+    /// When a process last ended other than by leaving to its successor.
+    pub ended_at: Micros,
+    /// Since when there is no more than one process.
+    pub alone_since: Micros,
+    /// When one of several processes was last killed.
+    pub killed_at: Micros,
+    /// When its machine last stood still no more.
+    pub resumed_at: Micros,
+    pub reloaded_at: Micros,
+    /// Until when its disk may fail it.
+    pub disk_trouble: Micros,
+    /// The next life has other settings.
+    pub renewed: bool,
+    /// Memory that its settings name.
+    pub memory_kb: f64,
+    pub runtime: Runtime,
+}
+
+impl Machine {
+    pub(crate) fn new(m: usize, runtime: Runtime) -> Self {
+        let host = 10 + m as u8;
+        Self {
+            number: m,
+            procs: Vec::new(),
+            life: 0,
+            seat: 0,
+            frames: at(host, 5_050),
+            ajp: at(host, 8_009),
+            hall: Rc::default(),
+            disk: Memory::default(),
+            lock: Lock::default(),
+            paused: None,
+            left_at: None,
+            ended_at: 0,
+            alone_since: 0,
+            killed_at: 0,
+            resumed_at: 0,
+            reloaded_at: 0,
+            disk_trouble: 0,
+            renewed: false,
+            memory_kb: 0.0,
+            runtime,
+        }
+    }
+
+    /// The disk is in trouble until then, and its keeper somewhat longer.
+    pub(crate) fn note_disk_trouble(&mut self, until: Micros) {
+        self.disk_trouble = self.disk_trouble.max(until + SECOND);
+    }
+
+    pub(crate) fn find(&mut self, life: u64) -> Option<&mut Proc> {
+        self.procs.iter_mut().find(|process| process.life == life)
+    }
+
+    /// The process that was started last, where it lives.
+    pub(crate) fn newest(&mut self) -> Option<&mut Proc> {
+        self.procs.last_mut()
+    }
+
+    pub(crate) fn slot(&self, life: u64) -> usize {
+        self.number * SLOTS + life as usize % SLOTS
+    }
+}
+
+impl Sim {
+    /// The process in a slot.
+    pub(crate) fn in_slot(&self, slot: usize) -> Option<(usize, u64)> {
+        let machine = self.machines.get(slot / SLOTS)?;
+        let process = machine.procs.iter().find(|process| process.life as usize % SLOTS == slot % SLOTS)?;
+        Some((slot / SLOTS, process.life))
+    }
+
+    /// Tells a process something; it takes a turn then.
+    pub(crate) fn tell(&mut self, m: usize, life: u64, what: impl FnOnce(&mut Node<Virtual>)) {
+        if let Some(process) = self.machines[m].find(life) {
+            what(&mut process.node);
+        }
+        self.turn_soon(m, life);
+    }
+
+    /// The same for all processes of a machine.
+    pub(crate) fn tell_all(&mut self, m: usize, what: impl Fn(&mut Node<Virtual>)) {
+        let lives: Vec<_> = self.machines[m].procs.iter().map(|process| process.life).collect();
+        lives.into_iter().for_each(|life| self.tell(m, life, &what));
+    }
+
+    /// Starts a process: in the seat of the one before it, or in one of its own where that one still serves.
+    pub(crate) fn start(&mut self, m: usize) {
+        let beside = !self.machines[m].procs.is_empty();
+        let process = self.net.borrow_mut().process(self.plan.sockets);
+        let machine = &mut self.machines[m];
+        machine.life += 1;
+        machine.seat += usize::from(beside);
+        let (life, seat) = (machine.life, machine.seat);
+        let runtimes = runtimes_of(m, seat);
+        let mgmt = mgmt_of(m, seat);
+        let parties = Parties { runtime: runtimes[0], store: at(1, 9_042), lookup: at(1, 7_946) };
+        let world = Virtual {
+            net: Rc::clone(&self.net),
+            node: m,
+            life,
+            slot: machine.slot(life),
+            hall: Rc::clone(&machine.hall),
+            process,
+            desk: Rc::new(RefCell::new(Desk::new(machine.disk.clone(), Rc::clone(&machine.lock), life))),
+        };
+        for address in runtimes {
+            self.listeners.insert(address, Listens::Service(RUNTIMES + m, seat));
+        }
+        self.listeners.insert(mgmt, Listens::Operators(m, life));
+        self.net.borrow_mut().unlisten(runtimes[1]);
+        self.places[RUNTIMES + m].listen(runtimes[0]);
+        let options = self.options(m, seat, parties);
+        let memory_kb = options.settings.memory_kb;
+        let (desk, parties) = (Rc::clone(&world.desk), Rc::new(RefCell::new(parties)));
+        let read = Rc::clone(&parties);
+        match Node::new(world, options, Box::new(move || Ok(*read.borrow()))) {
+            Ok(node) => {
+                let machine = &mut self.machines[m];
+                if !beside {
+                    (machine.left_at, machine.memory_kb) = (None, memory_kb);
+                }
+                machine.procs.push(Proc {
+                    node,
+                    life,
+                    process,
+                    seat,
+                    mgmt,
+                    which: 0,
+                    parties,
+                    desk,
+                    pending: false,
+                    wake: Micros::MAX,
+                    turns: (0, 0),
+                    told_at: None,
+                });
+                self.turn_soon(m, life);
+                self.note(|| format!("m{m} starts, life {life}"));
+            }
+            Err(e) => self.broken.push(format!("m{m} can't start: {e}")),
+        }
+    }
+
+    pub(crate) fn turn_soon(&mut self, m: usize, life: u64) {
+        let Some(process) = self.machines[m].find(life) else { return };
+        if !std::mem::replace(&mut process.pending, true) {
+            let mut net = self.net.borrow_mut();
+            let now = net.now;
+            net.queue.push(now, Event::Node(m, life));
+        }
+    }
+
+    /// A machine that stood still goes on.
+    pub(crate) fn resume(&mut self, m: usize) {
+        let again = |process: &mut Proc| {
+            process.pending = false;
+            process.life
+        };
+        let lives: Vec<_> = self.machines[m].procs.iter_mut().map(again).collect();
+        lives.into_iter().for_each(|life| self.turn_soon(m, life));
+    }
+
+    pub(crate) fn turn(&mut self, m: usize, life: u64) {
+        let now = self.now();
+        let paused = self.machines[m].paused.is_some();
+        let Some(process) = self.machines[m].find(life) else { return };
+        // What was scheduled before something else came up is out of date.
+        if paused || !(process.pending || now >= process.wake) {
+            return;
+        }
+        (process.pending, process.wake) = (false, Micros::MAX);
+        process.turns = if process.turns.0 == now { (now, process.turns.1 + 1) } else { (now, 0) };
+        let next = process.node.turn();
+        if let Some(fault) = process.node.fault() {
+            self.broken.push(format!("m{m} can't go on: {fault}"));
+            return;
+        }
+        if process.node.is_over() {
+            process.node.close();
+            self.leave(m, life);
+            return;
+        }
+        if process.turns.1 > SPIN {
+            self.broken.push(format!("m{m} loops at full speed"));
+            return;
+        }
+        let next = next.max(now);
+        (process.wake, process.pending) = (next, false);
+        self.net.borrow_mut().queue.push(next, Event::Node(m, life));
+    }
+
+    /// A process is gone, with all that it held.
+    pub(crate) fn remove(&mut self, m: usize, life: u64) {
+        let now = self.now();
+        let machine = &mut self.machines[m];
+        let Some(place) = machine.procs.iter().position(|process| process.life == life) else { return };
+        let process = machine.procs.remove(place);
+        machine.alone_since = now;
+        process.desk.borrow().abandon();
+        self.listeners.remove(&process.mgmt);
+        // Its sockets close now, and not in the middle of anything.
+        drop(process);
+    }
+
+    /// A process that was told to leave has ended.
+    fn leave(&mut self, m: usize, life: u64) {
+        let now = self.now();
+        let told = self.machines[m].find(life).is_some_and(|process| process.told_at.is_some());
+        self.remove(m, life);
+        self.note(|| format!("m{m} has left, life {life}"));
+        let machine = &mut self.machines[m];
+        if !machine.procs.is_empty() {
+            self.meet("left to its successor");
+            return;
+        }
+        // One whose successor died after it was told leaves all the same: it will be killed.
+        if machine.left_at.is_none() && !told {
+            self.broken.push(format!("m{m} has ended without a successor, and was not told to"));
+            return;
+        }
+        machine.ended_at = now;
+        let life = machine.life;
+        self.meet("left");
+        let runtime = self.new_runtime(m, now + 300 * MS);
+        self.machines[m].runtime = runtime;
+        self.net.borrow_mut().queue.push(now + 300 * MS, Event::Revive(m, life));
+    }
+
+    /// A runtime that comes up then, with the books of the one before it.
+    pub(crate) fn new_runtime(&mut self, m: usize, since: Micros) -> Runtime {
+        let machine = &mut self.machines[m];
+        let mut runtime = self.setup.runtime(self.plan.seed ^ m as u64 ^ machine.life << 20, since);
+        runtime.seen = std::mem::take(&mut machine.runtime.seen);
+        runtime
+    }
+
+    pub(crate) fn keep(&mut self, m: usize, life: u64) {
+        let now = self.now();
+        // What a process that is gone had asked for is not done by the next.
+        let Some(process) = self.machines[m].find(life) else { return };
+        let mut facts = Vec::new();
+        let again = process.desk.borrow_mut().work(now, &mut facts);
+        facts.into_iter().for_each(|fact| process.node.kept(fact));
+        if let Some(at) = again {
+            self.net.borrow_mut().queue.push(at, Event::Keeper(m, life));
+        }
+        self.turn_soon(m, life);
+    }
+
+    /// All processes of a machine die, and its runtime with them or not.
+    pub(crate) fn crash(&mut self, m: usize, down: Micros, runtime: bool) {
+        let now = self.now();
+        if self.machines[m].procs.is_empty() {
+            return;
+        }
+        if self.machines[m].procs.iter().any(|process| process.node.census().intents > 0) {
+            self.meet("crash between intent and result");
+        }
+        self.fronts.iter_mut().for_each(|front| front.excuse(m));
+        let seed = self.plan.seed ^ now;
+        let lives: Vec<_> = self.machines[m].procs.iter().map(|process| process.life).collect();
+        lives.into_iter().for_each(|life| self.remove(m, life));
+        self.rollouts.retain(|rollout| rollout.machine != m);
+        let machine = &mut self.machines[m];
+        (machine.ended_at, machine.paused) = (now, None);
+        machine.disk = machine.disk.crash(seed);
+        let life = machine.life;
+        if runtime {
+            let fresh = self.new_runtime(m, now + down);
+            self.machines[m].runtime = fresh;
+        }
+        self.net.borrow_mut().queue.push(now + down, Event::Revive(m, life));
+    }
+
+    /// The matcher is told to leave, without a successor.
+    pub(crate) fn drain(&mut self, m: usize) {
+        let now = self.now();
+        let slow = self.machines[m].runtime.slowing > 2.0;
+        let stalled = self.rude.stalled.values().any(|on| *on == m);
+        let machine = &mut self.machines[m];
+        // A process that stands still hears of nothing: the notice would come with its next turn.
+        let told = machine.procs.last().is_some_and(|process| process.told_at.is_some());
+        if machine.procs.len() != 1 || told || machine.left_at.is_some() || machine.paused.is_some() {
+            return;
+        }
+        machine.left_at = Some(now);
+        let life = machine.procs[0].life;
+        self.tell(m, life, Node::leave);
+        if slow {
+            self.meet("told to leave while several times slower");
+        }
+        if stalled {
+            self.meet("a stalled body at the drain");
+        }
+    }
+
+    /// A new configuration for the process that was started last: its runtime moves to another address.
+    pub(crate) fn reload(&mut self, m: usize) {
+        let now = self.now();
+        let machine = &mut self.machines[m];
+        machine.reloaded_at = now;
+        let Some(process) = machine.newest() else { return };
+        let runtimes = runtimes_of(m, process.seat);
+        let old = runtimes[process.which];
+        process.which ^= 1;
+        let (new, life) = (runtimes[process.which], process.life);
+        process.parties.borrow_mut().runtime = new;
+        self.net.borrow_mut().unlisten(old);
+        self.places[RUNTIMES + m].listen(new);
+        self.tell(m, life, Node::reload);
+    }
+
+    fn options(&self, m: usize, seat: usize, parties: Parties) -> Options {
+        let machine = &self.machines[m];
+        // The stand-ins' settings are read by the program's own reader.
+        let mut value = self.setup.settings();
+        if machine.renewed {
+            // So little that memory is what bounds it.
+            value["specifics"]["memory_kb"] = (f64::from(self.plan.cores) * 400.0).into();
+            value["specifics"]["advert"] = "none".into();
+        }
+        let boot: BootInfo = serde_json::from_value(value).unwrap_or_else(|e| panic!("settings: {e}"));
+        let (class_names, gauge_names) = (boot.class_names(), boot.gauge_names());
+        let mut settings = boot.settings();
+        settings.cold_start = machine.life > 1 && machine.procs.is_empty();
+        let once: Vec<bool> =
+            settings.classes.iter().map(|class| class.effect != ClassEffect::Safe).collect();
+        let route = |(class, name): (usize, &String)| Entry {
+            path: format!("/{name}"),
+            methods: vec!["POST".to_owned()],
+            class,
+        };
+        let table = Table::new(class_names.iter().enumerate().map(route).collect());
+        let header = |name: &str| Some(Source::Header(name.to_owned()));
+        let default =
+            |once: &bool| Defaults { work: 0, memory_kb: 20.0, rank: 0.5, caller: 0, needs_id: *once };
+        let ajp = AjpSettings {
+            secret: None,
+            packet_size: 8_192,
+            max_body: 2_048,
+            first_packet: 2 * SECOND,
+            body: 1_500 * MS,
+            idle: 30 * SECOND,
+            // The paths are plain and differ.
+            table: table.unwrap_or_else(|(_, what)| panic!("routes: {what}")),
+            lookup: None,
+            figures: Figures {
+                id: header("X-Request-Id"),
+                door: header("X-Door"),
+                work_ms: header("X-Work-Ms"),
+                rank: header("X-Rank"),
+                caller: header("X-Caller"),
+                key: header("Idempotency-Key"),
+                ..Figures::default()
+            },
+            defaults: once.iter().map(default).collect(),
+            seed: self.plan.seed,
+        };
+        let bounds = Bounds {
+            entries: if machine.renewed { 300 } else { 20_000 },
+            bytes: 10_000_000,
+            window: self.plan.window,
+            stall: 100 * MS,
+            seed: self.plan.seed,
+        };
+        Options {
+            name: format!("m{m}"),
+            listen: machine.frames,
+            mgmt: Some(mgmt_of(m, seat)),
+            shares_listener: false,
+            meets_in: Some(PathBuf::new()),
+            parties,
+            seed: self.plan.seed ^ machine.life.rotate_left(32) ^ m as u64,
+            stop: STOP,
+            sockets: self.plan.sockets,
+            class_names,
+            gauge_names,
+            settings,
+            ajp: Some(AjpFront {
+                listen: vec![machine.ajp],
+                trusted: vec![self.net.borrow().address()],
+                settings: ajp,
+            }),
+            store_speaks: Speaks::Http,
+            results: Some(Results {
+                folder: PathBuf::new(),
+                classes: once,
+                required: false,
+                owner: KeyOwner::Caller,
+                bounds,
+                entry_kb: 0.2,
+                frame_field: Some(FIELD.to_owned()),
+            }),
+        }
+    }
+}
--- a/crates/rig/src/net.rs
+++ b/crates/rig/src/net.rs
@@ -82,12 +82,17 @@
     short_at: Micros,
 }
 
+/// A listening socket: one queue, whoever holds it. It is there until nobody does.
 #[derive(Debug)]
 struct Door {
-    process: usize,
+    number: u64,
+    holders: Vec<usize>,
     backlog: VecDeque<EndId>,
 }
 
+/// Who holds a listening socket that is on its way from one process to another.
+const NOBODY: usize = usize::MAX;
+
 /// The network.
 pub struct Net<E> {
     /// The time.
@@ -97,7 +102,9 @@
     wrap: fn(NetEvent) -> E,
     random: SmallRng,
     ends: Vec<End>,
-    doors: BTreeMap<SocketAddr, Door>,
+    /// Several at one address share what comes there.
+    doors: BTreeMap<SocketAddr, Vec<Door>>,
+    numbers: u64,
     processes: Vec<Process>,
     /// Reads and writes are cut short now and then.
     pub partial: bool,
@@ -116,6 +123,7 @@
             random: SmallRng::seed_from_u64(seed),
             ends: Vec::new(),
             doors: BTreeMap::new(),
+            numbers: 0,
             processes: Vec::new(),
             partial: false,
             exhausted: 0,
@@ -174,50 +182,138 @@
         Ok(())
     }
 
-    /// Listens.
+    /// Takes a descriptor for something that is no connection.
+    ///
+    /// # Errors
+    /// Where none is left.
+    pub fn hold(&mut self, process: usize) -> io::Result<()> {
+        self.take_descriptor(process)
+    }
+
+    /// Gives such a descriptor back.
+    pub fn let_go(&mut self, process: usize) {
+        self.note_short(process);
+        self.processes[process].held -= 1;
+    }
+
+    /// Listens; beside others only where that is meant. Returns the number of the listening socket.
     ///
     /// # Errors
     /// Where the address is taken or no descriptor is left.
-    pub fn listen(&mut self, address: SocketAddr, process: usize) -> io::Result<()> {
-        if self.doors.contains_key(&address) {
+    pub fn listen(&mut self, address: SocketAddr, process: usize, beside: bool) -> io::Result<u64> {
+        if self.doors.contains_key(&address) && !beside {
             return Err(ErrorKind::AddrInUse.into());
         }
         self.take_descriptor(process)?;
-        self.doors.insert(address, Door { process, backlog: VecDeque::new() });
+        self.numbers += 1;
+        let door = Door { number: self.numbers, holders: vec![process], backlog: VecDeque::new() };
+        self.doors.entry(address).or_default().push(door);
+        Ok(self.numbers)
+    }
+
+    fn door(&mut self, address: SocketAddr, number: u64) -> Option<&mut Door> {
+        self.doors.get_mut(&address)?.iter_mut().find(|door| door.number == number)
+    }
+
+    /// A listening socket goes on its way to another process.
+    pub fn pass_on(&mut self, address: SocketAddr, number: u64) {
+        if let Some(door) = self.door(address, number) {
+            door.holders.push(NOBODY);
+        }
+    }
+
+    /// A process takes up a listening socket that was on its way.
+    ///
+    /// # Errors
+    /// Where no descriptor is left.
+    pub fn take_up(&mut self, address: SocketAddr, number: u64, process: usize) -> io::Result<()> {
+        self.take_descriptor(process)?;
+        match self.door(address, number) {
+            Some(door) => door.holders.push(process),
+            None => self.let_go(process),
+        }
         Ok(())
     }
 
-    /// Listens no more; what waits to be accepted is reset.
+    /// A listening socket that was on its way is given up, or was taken up.
+    pub fn arrived(&mut self, address: SocketAddr, number: u64) {
+        self.close_door(address, number, NOBODY);
+    }
+
+    /// A process closes its listening socket. Where nobody else has it, what waits to be accepted is reset.
+    pub fn close_door(&mut self, address: SocketAddr, number: u64, process: usize) {
+        let Some(door) = self.door(address, number) else { return };
+        let Some(place) = door.holders.iter().position(|holder| *holder == process) else { return };
+        door.holders.swap_remove(place);
+        let last = door.holders.is_empty();
+        if process != NOBODY {
+            self.let_go(process);
+        }
+        if last {
+            let doors = self.doors.remove(&address).unwrap_or_default();
+            for door in doors {
+                if door.number == number {
+                    self.reset_backlog(door);
+                } else {
+                    self.doors.entry(address).or_default().push(door);
+                }
+            }
+        }
+    }
+
+    fn reset_backlog(&mut self, door: Door) {
+        for end in door.backlog {
+            self.ends[end].gone = true;
+            let at = self.now + self.ends[end].latency;
+            self.push(at, NetEvent::Reset(end ^ 1));
+        }
+    }
+
+    /// Nobody listens there any more; what waits to be accepted is reset.
     pub fn unlisten(&mut self, address: SocketAddr) {
-        if let Some(door) = self.doors.remove(&address) {
-            self.note_short(door.process);
-            self.processes[door.process].held -= 1;
-            for end in door.backlog {
-                self.ends[end].gone = true;
-                let at = self.now + self.ends[end].latency;
-                self.push(at, NetEvent::Reset(end ^ 1));
+        for door in self.doors.remove(&address).unwrap_or_default() {
+            for process in door.holders.iter().copied().filter(|process| *process != NOBODY) {
+                self.let_go(process);
             }
+            self.reset_backlog(door);
         }
     }
 
-    /// Somebody listens there.
+    /// Processes that hold a listening socket there.
     #[must_use]
-    pub fn listens(&self, address: SocketAddr) -> bool {
-        self.doors.contains_key(&address)
+    pub fn listeners(&self, address: SocketAddr) -> usize {
+        let doors = self.doors.get(&address).map_or(&[][..], Vec::as_slice);
+        doors.iter().map(|door| door.holders.len()).sum()
     }
 
-    /// Accepts a connection that waits.
+    /// Accepts a connection that waits at the first listening socket there.
     ///
     /// # Errors
-    /// `WouldBlock` where none waits; that of the system where no descriptor is left.
+    /// As [`accept_at`](Self::accept_at).
     pub fn accept(&mut self, address: SocketAddr, owner: u64) -> io::Result<EndId> {
-        let door = self.doors.get(&address).ok_or(ErrorKind::NotConnected)?;
-        let process = door.process;
+        let door = self.doors.get(&address).and_then(|doors| doors.first());
+        let (number, process) =
+            door.map(|door| (door.number, door.holders[0])).ok_or(ErrorKind::NotConnected)?;
+        self.accept_at(address, number, process, owner)
+    }
+
+    /// Accepts a connection that waits at this listening socket, for a process that holds it.
+    ///
+    /// # Errors
+    /// `WouldBlock` where none waits; that of the system where no descriptor is left.
+    pub fn accept_at(
+        &mut self,
+        address: SocketAddr,
+        number: u64,
+        process: usize,
+        owner: u64,
+    ) -> io::Result<EndId> {
+        let door = self.door(address, number).ok_or(ErrorKind::NotConnected)?;
         if door.backlog.is_empty() {
             return Err(ErrorKind::WouldBlock.into());
         }
         self.take_descriptor(process)?;
-        let end = self.doors.get_mut(&address).and_then(|door| door.backlog.pop_front());
+        let end = self.door(address, number).and_then(|door| door.backlog.pop_front());
         let end = end.ok_or(ErrorKind::WouldBlock)?;
         (self.ends[end].owner, self.ends[end].process) = (owner, process);
         // What came before it was accepted is there.
@@ -254,6 +350,12 @@
         self.ends[end].owner
     }
 
+    /// Whose the other side of a connection is, where it was accepted.
+    #[must_use]
+    pub fn peer_owner(&self, end: EndId) -> Option<u64> {
+        Some(self.ends[end ^ 1].owner).filter(|owner| *owner != u64::MAX)
+    }
+
     /// When the other side of a connection that an end dialled has accepted it.
     #[must_use]
     pub fn accepted(&self, end: EndId) -> Option<Micros> {
@@ -271,8 +373,10 @@
         match event {
             NetEvent::Syn(end, to) => {
                 let at = self.now + self.ends[end].latency;
-                let room = self.doors.get_mut(&to).filter(|door| door.backlog.len() < BACKLOG);
-                match room {
+                let doors = self.doors.get(&to).map_or(0, Vec::len);
+                let which = if doors > 1 { self.random.random_range(0..doors) } else { 0 };
+                let door = self.doors.get_mut(&to).and_then(|doors| doors.get_mut(which));
+                match door.filter(|door| door.backlog.len() < BACKLOG) {
                     Some(door) if !self.ends[end].gone => {
                         door.backlog.push_back(end ^ 1);
                         self.push(at, NetEvent::Answered(end, true));
@@ -425,8 +529,7 @@
             return;
         }
         let process = self.ends[end].process;
-        self.note_short(process);
-        self.processes[process].held -= 1;
+        self.let_go(process);
         if self.ends[end].inbox.is_empty() {
             self.finish(end);
         } else {
--- a/crates/rig/src/parties.rs
+++ b/crates/rig/src/parties.rs
@@ -55,11 +55,11 @@
     /// Listens. In this world no address is taken twice, but by a service that moves.
     pub fn listen(&mut self, at: SocketAddr) {
         // One that listens already goes on.
-        let _ = self.net.borrow_mut().listen(at, self.process);
+        let _ = self.net.borrow_mut().listen(at, self.process, false);
     }
 
-    /// Accepts all that wait.
-    pub fn acceptable<S: Service + ?Sized>(&mut self, service: &mut S, at: SocketAddr) {
+    /// Accepts all that wait at this of the service's doors.
+    pub fn acceptable<S: Service + ?Sized>(&mut self, service: &mut S, at: SocketAddr, door: usize) {
         loop {
             let link = self.accepted + 2;
             let owner = Owner::Service(self.number, link).encode();
@@ -67,7 +67,7 @@
             let Ok(end) = accepted else { return };
             self.accepted = link;
             self.wires.insert(link, Wire { end, out: Vec::new(), up: true, closing: false, dialled: false });
-            self.tell(service, |service, now, out| service.opened(now, link, out));
+            self.tell(service, |service, now, out| service.opened_at(now, link, door, out));
         }
     }
 
@@ -218,6 +218,12 @@
         mine.map(|(link, wire)| (*link, wire.end)).collect()
     }
 
+    /// Whose the other side of a link is, where it was accepted.
+    #[must_use]
+    pub fn peer(&self, link: Link) -> Option<u64> {
+        self.wires.get(&link).and_then(|wire| self.net.borrow().peer_owner(wire.end))
+    }
+
     /// When the other side of a link has accepted it.
     #[must_use]
     pub fn accepted(&self, link: Link) -> Option<Micros> {
--- a/crates/rig/src/plan.rs
+++ b/crates/rig/src/plan.rs
@@ -10,9 +10,27 @@
 const MS: Micros = 1_000;
 const SECOND: Micros = 1_000_000;
 
+/// Which process dies in an upgrade, and how long after the new one's start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Killed {
+    /// The new one.
+    New(Micros),
+    /// The one whose place it takes.
+    Old(Micros),
+}
+
+/// Kinds of faults, drawn by their numbers.
+const KINDS: u32 = 27;
+
 /// What goes wrong.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Fault {
+    /// A process takes the place of the one that serves, and one of both may die over it.
+    Upgrade(Option<Killed>),
+    /// What the next process is told that its predecessor had learned is torn.
+    Torn,
+    /// Connections are opened at the operators' address that say nothing, so many.
+    OperatorCrowd(usize),
     /// A matcher dies and comes back after this time, cold; its runtime dies along, or lives on.
     Crash {
         /// How long it is away.
@@ -88,6 +106,9 @@
             Self::Tear => "link end within a notice",
             Self::Spoilt(_) => "spoilt store replies",
             Self::Renew => "new settings",
+            Self::Upgrade(_) => "upgrades asked for",
+            Self::Torn => "torn snapshots asked for",
+            Self::OperatorCrowd(_) => "silent crowd at the operators' address",
         }
     }
 }
@@ -158,7 +179,7 @@
             faults: Vec::new(),
         };
         // A swarm: each seed has a set of its own, so that no fault hides what another would show.
-        for kind in 0..21 {
+        for kind in 0..KINDS {
             if random.random_range(0..100) < 28 {
                 for _ in 0..random.random_range(1..3) {
                     let at = random.random_range(SECOND / 2..asks);
@@ -199,7 +220,12 @@
             17 => Fault::Repeats(random.random_range(20..600)),
             18 => Fault::Tear,
             19 => Fault::Spoilt(random.random_range(20..300)),
-            _ => Fault::Renew,
+            20 => Fault::Renew,
+            21 | 22 => Fault::Upgrade(None),
+            23 => Fault::Upgrade(Some(Killed::New(step(random)))),
+            24 => Fault::Upgrade(Some(Killed::Old(step(random)))),
+            25 => Fault::Torn,
+            _ => Fault::OperatorCrowd(random.random_range(5..120)),
         };
         let lasts = match fault {
             Fault::Pause => random.random_range(20..700) * MS,
@@ -223,6 +249,15 @@
             (2, 11),
             (15, 16),
             (17, 3),
+            (15, 21),
+            (25, 21),
+            (20, 22),
+            (21, 22),
+            (21, 12),
+            (8, 21),
+            (2, 22),
+            (26, 21),
+            (16, 22),
         ];
         let &(one, other) = first.choose(random).unwrap_or(&first[0]);
         let at = random.random_range(SECOND / 2..self.asks);
@@ -235,6 +270,15 @@
     }
 }
 
+/// A moment in an upgrade: most of its steps lie in its first milliseconds.
+fn step(random: &mut SmallRng) -> Micros {
+    match random.random_range(0..3) {
+        0 => random.random_range(0..2_000),
+        1 => random.random_range(0..20) * MS,
+        _ => random.random_range(20..1_500) * MS,
+    }
+}
+
 fn habit(random: &mut SmallRng, number: usize) -> Habit {
     let some = |random: &mut SmallRng, share: u32, from: Micros, to: Micros| {
         (random.random_range(0..100) < share).then(|| random.random_range(from..to) * MS)
--- a/crates/rig/src/rules.rs
+++ b/crates/rig/src/rules.rs
@@ -1,6 +1,7 @@
 //! The rules, judged from the books of front ends, runtimes and the store alone, after each step.
 
 use crate::front::{Fate, Try};
+use crate::inspector::Call;
 use crate::sim::{Sim, GRACE};
 use cleatpulley_policy::interface::Micros;
 use cleatpulley_standin::runtime::result_of;
@@ -13,6 +14,8 @@
 /// What was sent so shortly before a stop or a close may have crossed it.
 const CROSSING: Micros = 60 * MS;
 
+/// Operators are owed an answer within this time, and what the way takes.
+const ANSWERED: Micros = 1_000 * MS + MS;
 /// How often memory is counted.
 const WEIGHED: Micros = 20 * MS;
 /// Memory that a request says it takes, and times as much that it takes while it runs.
@@ -71,6 +74,8 @@
         self.check_dues(sim);
         self.check_crowd(sim);
         self.check_memory(sim);
+        self.check_doors(sim);
+        self.check_operators(sim);
         let most = sim.store.seen.most;
         if most > 5 * self.slots {
             self.wrong(sim, format!("the store holds {most} calls, past five times its slots"));
@@ -199,6 +204,11 @@
                         let resumed = sim.machines[m].resumed_at;
                         let crossed = crossed || (sent.at < resumed && ended < resumed + CROSSING && !ran);
                         let taken = !sim.place_of_front(n).unaccepted.contains(&link);
+                        // Whoever waited in the queue of a machine that goes on is let in.
+                        let stays = ended + 2 * CROSSING < sim.clock() && !sim.machines[m].procs.is_empty();
+                        if !taken && stays && !sim.fronts[n].excused.contains(&link) {
+                            self.wrong(sim, format!("{id:016x}, sent to m{m}, was not let in"));
+                        }
                         if taken && !sim.fronts[n].excused.contains(&link) && !crossed {
                             self.wrong(sim, format!("{id:016x}, sent to m{m}, has lost its connection"));
                         }
@@ -241,6 +251,51 @@
         }
     }
 
+    /// While a machine has a process that serves, nobody is refused at its door.
+    fn check_doors(&mut self, sim: &mut Sim) {
+        for n in 0..sim.fronts.len() {
+            for (m, id) in std::mem::take(&mut sim.fronts[n].refused) {
+                let machine = &sim.machines[m];
+                let since = machine.ended_at.max(machine.killed_at);
+                let stays = machine.procs.len() > 1 && sim.clock() > since + 2 * CROSSING;
+                if stays && machine.left_at.is_none() {
+                    self.wrong(sim, format!("{id:016x} was refused at m{m}'s door in an upgrade"));
+                }
+            }
+        }
+        for (m, machine) in sim.machines.iter().enumerate().filter(|(_, machine)| machine.procs.len() > 1) {
+            let held: usize = machine.procs.iter().map(|process| process.node.census().descriptors).sum();
+            // One whose middle process dies hears no more of what the first still has.
+            let told = machine.killed_at == 0 || sim.clock() > machine.killed_at + 4_000 * MS;
+            if told && held > sim.plan.sockets {
+                let most = sim.plan.sockets;
+                self.wrong(sim, format!("m{m}: its processes hold {held} descriptors of {most} together"));
+                return;
+            }
+        }
+    }
+
+    /// Operators are answered within a second.
+    fn check_operators(&mut self, sim: &mut Sim) {
+        let now = sim.clock();
+        for odd in std::mem::take(&mut sim.inspector.odd) {
+            self.wrong(sim, format!("operators are told {odd}"));
+        }
+        let late = |call: &&Call| now > call.asked + ANSWERED;
+        let mut calls = std::mem::take(&mut sim.inspector.unanswered);
+        calls.extend(sim.inspector.calls.values().filter(late).cloned());
+        for call in calls {
+            let machine = &sim.machines[call.matcher];
+            let there = machine.procs.iter().any(|process| process.life == call.life);
+            let stood = machine.paused.is_some() || machine.resumed_at + ANSWERED > now;
+            if there && !stood && sim.has_room(call.matcher) {
+                let ago = (now - call.asked) as f64 / 1e6;
+                self.wrong(sim, format!("m{}: an operator asked {ago:.3} s ago in vain", call.matcher));
+                return;
+            }
+        }
+    }
+
     /// A warm server dies of more than six requests on each core, in the mean of two seconds.
     fn check_crowd(&mut self, sim: &Sim) {
         self.crowded_since.resize(sim.machines.len(), None);
@@ -280,7 +335,7 @@
             }
             let used = MEMORY_KB * (held as f64 + RUNS_TAKE * runs as f64);
             let reads = machine.paused.is_none() && machine.resumed_at + CROSSING < now;
-            if machine.node.is_some() && reads && used > machine.memory_kb {
+            if !machine.procs.is_empty() && reads && used > machine.memory_kb {
                 let most = machine.memory_kb;
                 self.wrong(sim, format!("m{m}: {held} held and {runs} running take {used} KB of {most}"));
             }
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -51,7 +51,6 @@
 }
 
 struct Port {
-    listener: Option<TcpListener>,
     service: Arc<Mutex<dyn Service>>,
 }
 
@@ -69,6 +68,8 @@
 #[derive(Default)]
 pub struct Host {
     ports: Vec<Port>,
+    /// Listeners, each with the port it belongs to and its number among that port's.
+    doors: Vec<(TcpListener, usize, usize)>,
 }
 
 /// A host that runs; it stops when this is dropped.
@@ -92,15 +93,31 @@
     /// # Errors
     /// Where the address can't be listened on.
     pub fn listen(&mut self, at: SocketAddr, service: Arc<Mutex<dyn Service>>) -> io::Result<SocketAddr> {
-        let listener = TcpListener::bind(at)?;
-        let address = listener.local_addr()?;
-        self.ports.push(Port { listener: Some(listener), service });
-        Ok(address)
+        self.listen_at(&[at], service).map(|addresses| addresses[0])
+    }
+
+    /// Adds a service with several doors; returns where they are.
+    ///
+    /// # Errors
+    /// Where an address can't be listened on.
+    pub fn listen_at(
+        &mut self,
+        at: &[SocketAddr],
+        service: Arc<Mutex<dyn Service>>,
+    ) -> io::Result<Vec<SocketAddr>> {
+        let mut addresses = Vec::new();
+        for (door, address) in at.iter().enumerate() {
+            let listener = TcpListener::bind(*address)?;
+            addresses.push(listener.local_addr()?);
+            self.doors.push((listener, self.ports.len(), door));
+        }
+        self.ports.push(Port { service });
+        Ok(addresses)
     }
 
     /// Adds a service that only dials.
     pub fn add(&mut self, service: Arc<Mutex<dyn Service>>) {
-        self.ports.push(Port { listener: None, service });
+        self.ports.push(Port { service });
     }
 
     /// Runs in a thread of its own.
@@ -109,16 +126,15 @@
     /// Where the system has no poller.
     pub fn start(mut self, clock: Clock) -> io::Result<Running> {
         let poll = Poll::new()?;
-        for (place, port) in self.ports.iter_mut().enumerate() {
-            if let Some(listener) = &mut port.listener {
-                poll.registry().register(listener, Token(place), Interest::READABLE)?;
-            }
+        for (place, (listener, ..)) in self.doors.iter_mut().enumerate() {
+            poll.registry().register(listener, Token(place), Interest::READABLE)?;
         }
-        let next_key = self.ports.len();
+        let next_key = self.doors.len();
         let over = Arc::new(AtomicBool::new(false));
         let mut work = Work {
             poll,
             ports: self.ports,
+            doors: self.doors,
             wires: HashMap::new(),
             keys: HashMap::new(),
             next_key,
@@ -143,6 +159,7 @@
 struct Work {
     poll: Poll,
     ports: Vec<Port>,
+    doors: Vec<(TcpListener, usize, usize)>,
     wires: HashMap<usize, Wire>,
     keys: HashMap<(usize, Link), usize>,
     next_key: usize,
@@ -164,7 +181,7 @@
         let now = self.clock.now();
         for event in events.iter() {
             let Token(key) = event.token();
-            if key < self.ports.len() {
+            if key < self.doors.len() {
                 self.accept(now, key);
             } else {
                 self.ready(now, key, event.is_writable());
@@ -252,12 +269,13 @@
         }
     }
 
-    fn accept(&mut self, now: Micros, place: usize) {
-        while let Some(Ok((stream, _))) = self.ports[place].listener.as_ref().map(TcpListener::accept) {
+    fn accept(&mut self, now: Micros, key: usize) {
+        let (place, door) = (self.doors[key].1, self.doors[key].2);
+        while let Ok((stream, _)) = self.doors[key].0.accept() {
             self.accepted += 2;
             let link = self.accepted;
             if self.add(place, link, stream, true).is_some() {
-                self.tell(place, |service, effects| service.opened(now, link, effects));
+                self.tell(place, |service, effects| service.opened_at(now, link, door, effects));
             }
         }
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -44,6 +44,11 @@
     /// A connection stands.
     fn opened(&mut self, _now: Micros, _link: Link, _out: &mut Vec<Effect>) {}
 
+    /// A connection stands that came to this of the service's doors, counted from 0.
+    fn opened_at(&mut self, now: Micros, link: Link, _door: usize, out: &mut Vec<Effect>) {
+        self.opened(now, link, out);
+    }
+
     /// Bytes came.
     fn received(&mut self, now: Micros, link: Link, bytes: &[u8], out: &mut Vec<Effect>);
 
--- a/crates/standin/src/matcher.rs
+++ b/crates/standin/src/matcher.rs
@@ -16,6 +16,9 @@
 pub struct Matcher {
     child: Child,
     folder: PathBuf,
+    /// What it shares with the process that takes its place.
+    shared: Arc<Scratch>,
+    operator: Option<String>,
     log: Arc<Mutex<Vec<String>>>,
     /// Where it listens for frames.
     pub frames: SocketAddr,
@@ -25,6 +28,15 @@
     pub mgmt: Option<SocketAddr>,
 }
 
+/// A folder that goes when nobody has it any more.
+struct Scratch(PathBuf);
+
+impl Drop for Scratch {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
 impl Drop for Matcher {
     fn drop(&mut self) {
         let _ = self.child.kill();
@@ -47,6 +59,68 @@
     /// # Errors
     /// Where it does not; its log is part of what is told.
     pub fn start(program: &Path, config: &Value, operator: Option<&str>) -> io::Result<Self> {
+        let shared = Arc::new(Scratch(Self::folder()?));
+        let mut matcher = Self::begin(program, config, operator, shared)?;
+        matcher.frames = matcher.wait_for_address("listens on ")?;
+        if operator.is_some_and(|text| text.contains("ajp:")) {
+            matcher.ajp = Some(matcher.wait_for_address("speaks AJP on ")?);
+        }
+        if config.get("mgmt").is_some() {
+            matcher.mgmt = Some(matcher.wait_for_address("operators are answered on ")?);
+        }
+        matcher.wait_for("runtime: running")?;
+        Ok(matcher)
+    }
+
+    /// Starts a process that is to take this one's place, with this configuration but for the addresses, which are the
+    /// same, and does not wait for it.
+    ///
+    /// # Errors
+    /// Where the system refuses.
+    pub fn begin_successor(&self, program: &Path, config: &Value) -> io::Result<Self> {
+        let mut config = config.clone();
+        config["listen"] = self.frames.to_string().into();
+        let anywhere = "listen: ['127.0.0.1:0']";
+        let operator = self.operator.as_deref().map(|text| match self.ajp {
+            Some(at) => text.replace(anywhere, &format!("listen: ['{at}']")),
+            None => text.to_owned(),
+        });
+        let mut matcher = Self::begin(program, &config, operator.as_deref(), Arc::clone(&self.shared))?;
+        (matcher.frames, matcher.ajp) = (self.frames, self.ajp);
+        Ok(matcher)
+    }
+
+    /// Waits until it says that it takes clients; returns how long that took from now.
+    ///
+    /// # Errors
+    /// Where it does not in this time.
+    pub fn wait_ready(&mut self, patience: Duration) -> io::Result<Duration> {
+        let since = Instant::now();
+        if self.mgmt.is_none() {
+            self.mgmt = Some(self.wait_for_address("operators are answered on ")?);
+        }
+        while !matches!(self.ask("/_ready"), Ok((200, _))) {
+            if since.elapsed() > patience || !self.is_alive() {
+                std::thread::sleep(Duration::from_millis(50));
+                return Err(io::Error::other(format!("it is not ready:\n{}", self.log().join("\n"))));
+            }
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        Ok(since.elapsed())
+    }
+
+    /// Kills it.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    fn begin(
+        program: &Path,
+        config: &Value,
+        operator: Option<&str>,
+        shared: Arc<Scratch>,
+    ) -> io::Result<Self> {
         let folder = Self::folder()?;
         let file = folder.join("config.json");
         std::fs::write(&file, config.to_string())?;
@@ -57,15 +131,8 @@
             std::fs::write(&file, text)?;
             command.arg("--operator").arg(&file);
         }
-        let mut matcher = Self::spawn(command, folder)?;
-        matcher.frames = matcher.wait_for_address("listens on ")?;
-        if operator.is_some_and(|text| text.contains("ajp:")) {
-            matcher.ajp = Some(matcher.wait_for_address("speaks AJP on ")?);
-        }
-        if config.get("mgmt").is_some() {
-            matcher.mgmt = Some(matcher.wait_for_address("operators are answered on ")?);
-        }
-        matcher.wait_for("runtime: running")?;
+        let mut matcher = Self::spawn(command, folder, shared)?;
+        matcher.operator = operator.map(str::to_owned);
         Ok(matcher)
     }
 
@@ -81,7 +148,8 @@
         std::fs::write(&file, operator)?;
         let mut command = Command::new(program);
         command.arg("route").arg("--operator").arg(&file);
-        let mut gateway = Self::spawn(command, folder)?;
+        let shared = Arc::new(Scratch(Self::folder()?));
+        let mut gateway = Self::spawn(command, folder, shared)?;
         gateway.frames = gateway.wait_for_address("listens on ")?;
         gateway.ajp = Some(gateway.wait_for_address("speaks AJP on ")?);
         Ok(gateway)
@@ -99,7 +167,8 @@
         Ok(())
     }
 
-    fn spawn(mut command: Command, folder: PathBuf) -> io::Result<Self> {
+    fn spawn(mut command: Command, folder: PathBuf, shared: Arc<Scratch>) -> io::Result<Self> {
+        command.env("TMPDIR", &shared.0);
         for variable in ["GW_CONFIG", "GW_NAME", "GW_LISTEN", "GW_MGMT"] {
             command.env_remove(variable);
         }
@@ -113,7 +182,16 @@
                 }
             });
         }
-        Ok(Self { child, folder, log, frames: ([127, 0, 0, 1], 0).into(), ajp: None, mgmt: None })
+        Ok(Self {
+            child,
+            folder,
+            shared,
+            operator: None,
+            log,
+            frames: ([127, 0, 0, 1], 0).into(),
+            ajp: None,
+            mgmt: None,
+        })
     }
 
     /// Its log so far.
--- a/crates/standin/src/runtime.rs
+++ b/crates/standin/src/runtime.rs
@@ -56,9 +56,21 @@
     Waiting(u64),
 }
 
+/// One address of the runtime.
+#[derive(Debug, Default)]
+struct Channel {
+    link: Option<Link>,
+    input: Vec<u8>,
+    notices: VecDeque<(u64, String)>,
+    number: u64,
+    synced: bool,
+}
+
 #[derive(Debug)]
 struct Run {
     kind: usize,
+    /// The channel that it was begun through.
+    channel: usize,
     started: Micros,
     stage: Stage,
     /// Work between two calls.
@@ -90,11 +102,8 @@
     done: f64,
     runs: HashMap<u64, Run>,
     working: BTreeSet<(u64, u64)>,
-    link: Option<Link>,
-    input: Vec<u8>,
-    notices: VecDeque<(u64, String)>,
-    number: u64,
-    synced: bool,
+    /// One for each door: each numbers its own notices, and tells only of runs that were begun through it.
+    channels: Vec<Channel>,
     /// No link is taken and none stands, until this time.
     down_until: Option<Micros>,
     /// What was seen.
@@ -144,11 +153,7 @@
             done: 0.0,
             runs: HashMap::new(),
             working: BTreeSet::new(),
-            link: None,
-            input: Vec::new(),
-            notices: VecDeque::new(),
-            number: 0,
-            synced: false,
+            channels: vec![Channel::default()],
             down_until: None,
             seen: Seen::default(),
             slowing: 1.0,
@@ -162,10 +167,10 @@
     /// Breaks the link at once and takes none until this time; runs go on.
     pub fn break_link(&mut self, until: Micros, out: &mut Vec<Effect>) {
         self.down_until = Some(until);
-        if let Some(link) = self.link.take() {
-            out.push(Effect::Reset(link));
+        for channel in &mut self.channels {
+            out.extend(channel.link.take().map(Effect::Reset));
+            channel.synced = false;
         }
-        self.synced = false;
     }
 
     /// A request has its answer, or nobody waits for one: where its run stands at a call, or comes to one, it ends.
@@ -187,7 +192,8 @@
         let Some(run) = self.runs.remove(&id) else { return };
         let ms = now.saturating_sub(run.started) as f64 / 1_000.0;
         let rid = format!("{id:016x}");
-        self.notice(json!({"t": "end", "rid": rid, "status": "broken_off", "time_ms": ms}), out);
+        let notice = json!({"t": "end", "rid": rid, "status": "broken_off", "time_ms": ms});
+        self.notice(run.channel, notice, out);
     }
 
     /// Requests that run or wait for a call.
@@ -242,29 +248,31 @@
         }
     }
 
-    fn notice(&mut self, mut value: serde_json::Value, out: &mut Vec<Effect>) -> u64 {
-        self.number += 1;
-        value["no"] = json!(self.number);
+    fn notice(&mut self, channel: usize, mut value: serde_json::Value, out: &mut Vec<Effect>) -> u64 {
+        let tears = &mut self.tears;
+        let Some(channel) = self.channels.get_mut(channel) else { return 0 };
+        channel.number += 1;
+        value["no"] = json!(channel.number);
         let line = format!("{value}\n");
-        if let Some(link) = self.link.filter(|_| self.synced) {
-            if std::mem::take(&mut self.tears) {
+        if let Some(link) = channel.link.filter(|_| channel.synced) {
+            if std::mem::take(tears) {
                 out.push(Effect::Send(link, line.as_bytes()[..line.len() / 2].to_vec()));
                 out.push(Effect::Close(link));
-                (self.link, self.synced) = (None, false);
+                (channel.link, channel.synced) = (None, false);
             } else {
                 out.push(Effect::Send(link, line.clone().into_bytes()));
-                let earlier = self.notices.iter().nth_back((self.number % 7) as usize);
-                let repeats = self.number.wrapping_mul(7_919) % 1_000 < u64::from(self.repeats);
+                let earlier = channel.notices.iter().nth_back((channel.number % 7) as usize);
+                let repeats = channel.number.wrapping_mul(7_919) % 1_000 < u64::from(self.repeats);
                 if let Some((_, earlier)) = earlier.filter(|_| repeats) {
                     out.push(Effect::Send(link, earlier.clone().into_bytes()));
                 }
             }
         }
-        self.notices.push_back((self.number, line));
-        if self.notices.len() > KEPT {
-            self.notices.pop_front();
+        channel.notices.push_back((channel.number, line));
+        if channel.notices.len() > KEPT {
+            channel.notices.pop_front();
         }
-        self.number
+        channel.number
     }
 
     fn end(&mut self, now: Micros, id: u64, out: &mut Vec<Effect>) {
@@ -273,23 +281,25 @@
         let ms = now.saturating_sub(run.started) as f64 / 1_000.0;
         if random.random_range(0..1_000) < self.setup.faults_per_mille {
             let notice = json!({"t": "end", "rid": format!("{id:016x}"), "status": "fault", "time_ms": ms});
-            self.notice(notice, out);
+            self.notice(run.channel, notice, out);
             return;
         }
         self.seen.fine += 1;
         let b64 = STANDARD.encode(result_of(id));
         let notice =
             json!({"t": "end", "rid": format!("{id:016x}"), "status": "fine", "time_ms": ms, "b64": b64});
-        self.notice(notice, out);
+        self.notice(run.channel, notice, out);
+    }
+
+    fn unreadable(&mut self, channel: usize, link: Link, out: &mut Vec<Effect>) {
+        self.seen.unreadable += 1;
+        out.push(Effect::Close(link));
+        (self.channels[channel].link, self.channels[channel].synced) = (None, false);
     }
 
-    fn command(&mut self, now: Micros, link: Link, line: &[u8], out: &mut Vec<Effect>) {
+    fn command(&mut self, now: Micros, channel: usize, link: Link, line: &[u8], out: &mut Vec<Effect>) {
         let Ok(command) = serde_json::from_slice::<Command>(line) else {
-            self.seen.unreadable += 1;
-            out.push(Effect::Close(link));
-            self.link = None;
-            self.synced = false;
-            return;
+            return self.unreadable(channel, link, out);
         };
         let nack = |status: &str| {
             Effect::Send(
@@ -306,15 +316,16 @@
                 let ready = json!({"t": "ready", "status": "running", "time_ms": ms});
                 let mut text = format!("{ready}\n");
                 let known = command.no.saturating_sub(if self.repeats > 0 { 9 } else { 0 });
-                self.notices.iter().filter(|notice| notice.0 > known).for_each(|notice| text += &notice.1);
+                let channel = &mut self.channels[channel];
+                channel.notices.iter().filter(|notice| notice.0 > known).for_each(|notice| text += &notice.1);
                 out.push(Effect::Send(link, text.into_bytes()));
-                self.synced = true;
+                channel.synced = true;
             }
             "start" => {
                 let kind = self.setup.kinds.iter().position(|kind| kind.name == command.route);
                 let body = STANDARD.decode(&command.b64);
                 match (kind, u64::from_str_radix(&command.rid, 16), body) {
-                    (Some(kind), Ok(id), Ok(_)) => self.start(now, kind, id, out),
+                    (Some(kind), Ok(id), Ok(_)) => self.start(now, channel, kind, id, out),
                     _ => out.push(nack("start")),
                 }
             }
@@ -337,22 +348,18 @@
                 let load = json!({"t": "load", "mark": command.mark, "v": v});
                 out.push(Effect::Send(link, format!("{load}\n").into_bytes()));
             }
-            _ => {
-                self.seen.unreadable += 1;
-                out.push(Effect::Close(link));
-                self.link = None;
-                self.synced = false;
-            }
+            _ => self.unreadable(channel, link, out),
         }
     }
 
-    fn start(&mut self, now: Micros, kind: usize, id: u64, out: &mut Vec<Effect>) {
+    fn start(&mut self, now: Micros, channel: usize, kind: usize, id: u64, out: &mut Vec<Effect>) {
         if self.runs.contains_key(&id) {
             return;
         }
         if self.over.remove(&id) {
             let rid = format!("{id:016x}");
-            self.notice(json!({"t": "end", "rid": rid, "status": "late", "time_ms": 0.0}), out);
+            let notice = json!({"t": "end", "rid": rid, "status": "late", "time_ms": 0.0});
+            self.notice(channel, notice, out);
             return;
         }
         let seen = self.seen.starts.entry(id).or_insert((kind, 0, now));
@@ -364,7 +371,7 @@
         let work = random.random_range(of.work.0..=of.work.1) as f64;
         let calls = random.random_range(of.calls.0..=of.calls.1);
         let piece = work / f64::from(calls + 1);
-        self.runs.insert(id, Run { kind, started: now, stage: Stage::Waiting(0), piece, calls });
+        self.runs.insert(id, Run { kind, channel, started: now, stage: Stage::Waiting(0), piece, calls });
         self.seen.most_running = self.seen.most_running.max(self.runs.len());
         if self.setup.instant {
             self.end(now, id, out);
@@ -383,41 +390,46 @@
 
 impl Service for Runtime {
     fn opened(&mut self, now: Micros, link: Link, out: &mut Vec<Effect>) {
+        self.opened_at(now, link, 0, out);
+    }
+
+    fn opened_at(&mut self, now: Micros, link: Link, door: usize, out: &mut Vec<Effect>) {
         if self.down_until.is_some_and(|until| now < until) {
             out.push(Effect::Reset(link));
             return;
         }
-        // A new link replaces the one before it.
-        if let Some(old) = self.link.replace(link) {
-            out.push(Effect::Close(old));
+        if self.channels.len() <= door {
+            self.channels.resize_with(door + 1, Channel::default);
         }
-        self.synced = false;
-        self.input.clear();
+        let channel = &mut self.channels[door];
+        // A new link replaces the one before it.
+        out.extend(channel.link.replace(link).map(Effect::Close));
+        channel.synced = false;
+        channel.input.clear();
     }
 
     fn received(&mut self, now: Micros, link: Link, bytes: &[u8], out: &mut Vec<Effect>) {
-        if self.link != Some(link) {
+        let Some(channel) = self.channels.iter().position(|channel| channel.link == Some(link)) else {
             return;
-        }
+        };
         self.pass(now);
-        let mut input = std::mem::take(&mut self.input);
+        let mut input = std::mem::take(&mut self.channels[channel].input);
         input.extend_from_slice(bytes);
         let mut used = 0;
         while let Some(length) = input[used..].iter().position(|b| *b == b'\n') {
             let line = &input[used..used + length];
             used += length + 1;
-            if self.link == Some(link) {
-                self.command(now, link, line, out);
+            if self.channels[channel].link == Some(link) {
+                self.command(now, channel, link, line, out);
             }
         }
         input.drain(..used);
-        self.input = input;
+        self.channels[channel].input = input;
     }
 
     fn closed(&mut self, _: Micros, link: Link, _: &mut Vec<Effect>) {
-        if self.link == Some(link) {
-            self.link = None;
-            self.synced = false;
+        for channel in self.channels.iter_mut().filter(|channel| channel.link == Some(link)) {
+            (channel.link, channel.synced) = (None, false);
         }
     }
 
@@ -439,9 +451,10 @@
                 continue;
             }
             run.calls -= 1;
-            let kind = run.kind;
+            let (kind, channel) = (run.kind, run.channel);
             let call = STANDARD.encode(format!("call of {}", self.setup.kinds[kind].name));
-            let number = self.notice(json!({"t": "wants", "rid": format!("{id:016x}"), "b64": call}), out);
+            let notice = json!({"t": "wants", "rid": format!("{id:016x}"), "b64": call});
+            let number = self.notice(channel, notice, out);
             if let Some(run) = self.runs.get_mut(&id) {
                 run.stage = Stage::Waiting(number);
             }
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -81,6 +81,8 @@
     pub seed: u64,
     /// Where runtime, store and directory listen; port 0 lets the system choose.
     pub ports: [u16; 3],
+    /// Addresses of the runtime: each process that takes another's place needs one of its own.
+    pub processes: usize,
 }
 
 impl Default for Setup {
@@ -96,6 +98,7 @@
             grace: 2_500_000,
             seed: 1,
             ports: [0; 3],
+            processes: 1,
         }
     }
 }
@@ -178,6 +181,8 @@
     pub clock: Clock,
     /// The runtime.
     pub runtime: Shared<Runtime>,
+    /// Where it is, for each process of a matcher.
+    pub runtimes: Vec<SocketAddr>,
     /// The store.
     pub store: Shared<Store>,
     /// The directory.
@@ -206,7 +211,10 @@
         let store = shared(Store::new(setup.store.clone()));
         let directory = shared(Directory::default());
         let mut host = Host::default();
-        let runtime_at = host.listen(local(setup.ports[0]), runtime.clone())?;
+        let mut doors = vec![local(setup.ports[0])];
+        doors.resize(setup.processes.max(1), local(0));
+        let runtimes = host.listen_at(&doors, runtime.clone())?;
+        let runtime_at = runtimes[0];
         let store_at = host.listen(local(setup.ports[1]), store.clone())?;
         let lookup_at = host.listen(local(setup.ports[2]), directory.clone())?;
         let config = json!({
@@ -217,7 +225,7 @@
             "settings": setup.settings(),
         });
         let running = host.start(clock)?;
-        Ok(Self { clock, runtime, store, directory, config, setup, _running: running })
+        Ok(Self { clock, runtime, runtimes, store, directory, config, setup, _running: running })
     }
 
     /// The text of an operator file that switches AJP on, on a port that the system chooses; `rest` is added to its
--- a/crates/standin/src/trial.rs
+++ b/crates/standin/src/trial.rs
@@ -12,6 +12,10 @@
 use std::path::Path;
 use std::time::Duration;
 
+/// A new process says yes within this time, and an old one has left so long after it was told to.
+const READY_WITHIN: Duration = Duration::from_secs(6);
+const STOP_WITHIN: Duration = Duration::from_millis(3_750);
+
 /// What the callers of one front send.
 #[derive(Debug, Clone)]
 pub struct Load {
@@ -156,6 +160,36 @@
         self.matcher.terminate();
     }
 
+    /// Puts a new process in the matcher's place, through its next address of the runtime: the new one is started, says
+    /// that it takes clients, the old one is told to leave, and ends. Returns how long the yes and the end took.
+    ///
+    /// # Errors
+    /// Where either does not do so in its time.
+    pub fn upgrade(&mut self, program: &Path, number: usize) -> io::Result<(Duration, Duration)> {
+        let mut next = self.begin_upgrade(program, number)?;
+        let ready = next.wait_ready(READY_WITHIN)?;
+        let mut old = std::mem::replace(&mut self.matcher, next);
+        let since = std::time::Instant::now();
+        old.terminate();
+        let status = old.wait(STOP_WITHIN);
+        if !status.as_ref().is_ok_and(|status| status.success()) {
+            return Err(io::Error::other(format!("the old process: {status:?}\n{}", old.log().join("\n"))));
+        }
+        Ok((ready, since.elapsed()))
+    }
+
+    /// Starts a process that is to take the matcher's place, with this of the runtime's addresses.
+    ///
+    /// # Errors
+    /// Where it does not start.
+    pub fn begin_upgrade(&self, program: &Path, number: usize) -> io::Result<Matcher> {
+        let mut config = self.site.config.clone();
+        let runtime = self.site.runtimes.get(number);
+        config["runtime"] =
+            runtime.ok_or_else(|| io::Error::other("the runtime has no address left"))?.to_string().into();
+        self.matcher.begin_successor(program, &config)
+    }
+
     fn measure(&mut self) {
         if let (Some((_, peak)), Some(cpu)) = (self.matcher.memory_kb(), self.matcher.cpu()) {
             self.used = (self.used.0.max(peak), self.used.1.max(cpu));
--- a/crates/upgrade/src/lib.rs
+++ b/crates/upgrade/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod message;
 pub mod predecessor;
+pub mod snapshot;
 pub mod successor;
 
 pub use message::{Held, Message};
--- a/crates/upgrade/src/message.rs
+++ b/crates/upgrade/src/message.rs
@@ -55,6 +55,8 @@
         /// What its controller has learned, as the text of its snapshot; empty: nothing.
         learned: String,
     },
+    /// Predecessor: it has let go of the store of results.
+    StoreFree {},
     /// Predecessor: what it has left by now.
     Left(Held),
 }
@@ -117,6 +119,7 @@
             Message::Refused { why: "busy".into() },
             Message::Take {},
             Message::Yours { held, learned: String::new() },
+            Message::StoreFree {},
             Message::Left(held),
         ];
         for message in messages {
--- a/crates/upgrade/src/predecessor.rs
+++ b/crates/upgrade/src/predecessor.rs
@@ -93,6 +93,16 @@
         }
     }
 
+    /// It has let go of the store of results.
+    #[must_use]
+    pub fn store_free(&self) -> Vec<Effect> {
+        if self.yielded() {
+            vec![Effect::Send(Message::StoreFree {})]
+        } else {
+            Vec::new()
+        }
+    }
+
     /// The connection ended, or what came on it can't be read.
     pub fn ended(&mut self) -> Vec<Effect> {
         match std::mem::replace(&mut self.state, State::Alone) {
@@ -155,8 +165,10 @@
         assert_eq!(one.turn(2 + TELLS - 1, Held::default), []);
         let left = Effect::Send(Message::Left(Held::default()));
         assert_eq!(one.turn(2 + TELLS, Held::default), [left]);
+        assert_eq!(one.store_free(), [Effect::Send(Message::StoreFree {})]);
         assert_eq!(one.ended(), [Effect::Close, Effect::Resume], "its successor died");
         assert!(one.receives(), "and the next may come");
+        assert_eq!(one.store_free(), [], "nobody is there to take it");
     }
 
     #[test]
--- a/crates/upgrade/src/successor.rs
+++ b/crates/upgrade/src/successor.rs
@@ -22,6 +22,8 @@
     Listen,
     /// Accept clients from here on.
     Serve,
+    /// Open the store of results: the predecessor has let go of it, or is gone.
+    OpenStore,
     /// The predecessor has so much of the machine.
     Beside(Held),
     /// What the predecessor had learned.
@@ -102,6 +104,7 @@
                 }
                 effects
             }
+            (State::Serving | State::Asking { .. }, Message::StoreFree {}) => vec![Effect::OpenStore],
             // It had not said so in time; what it has left counts all the same.
             (State::Serving, Message::Yours { held, .. } | Message::Left(held)) => vec![Effect::Beside(held)],
             // Nothing else is said by a predecessor that goes by this protocol.
@@ -120,11 +123,11 @@
         let nothing = Effect::Beside(Held::default());
         match std::mem::replace(&mut self.state, State::Serving) {
             State::Meeting { .. } | State::Waiting { .. } => {
-                vec![Effect::Close, Effect::Listen, Effect::Serve]
+                vec![Effect::Close, Effect::Listen, Effect::OpenStore, Effect::Serve]
             }
             // The queue is here, and nobody else takes from it.
-            State::Adopted | State::Asking { .. } => vec![Effect::Close, Effect::Serve],
-            State::Serving => vec![Effect::Close, nothing],
+            State::Adopted | State::Asking { .. } => vec![Effect::Close, Effect::OpenStore, Effect::Serve],
+            State::Serving => vec![Effect::Close, Effect::OpenStore, nothing],
         }
     }
 
@@ -186,12 +189,13 @@
         let yours = Message::Yours { held, learned: "x".into() };
         assert_eq!(new.hear(3, yours, 0), [Effect::Learn("x".into()), Effect::Beside(held), Effect::Serve]);
         assert!(new.serves());
-        assert_eq!(new.ended(), [Effect::Close, Effect::Beside(Held::default())], "the whole machine");
+        assert_eq!(new.hear(4, Message::StoreFree {}, 0), [Effect::OpenStore]);
+        assert_eq!(new.ended(), [Effect::Close, Effect::OpenStore, Effect::Beside(Held::default())]);
     }
 
     #[test]
     fn where_nothing_is_passed_it_listens_by_itself() {
-        let listens = [Effect::Close, Effect::Listen, Effect::Serve];
+        let listens = [Effect::Close, Effect::Listen, Effect::OpenStore, Effect::Serve];
         assert_eq!(new().ended(), listens);
         assert_eq!(new().turn(PATIENCE, true), listens, "a predecessor that says nothing");
         assert_eq!(new().hear(1, offer(5), 0), listens, "no socket came along");
@@ -209,14 +213,15 @@
         assert_eq!(new.turn(AGAIN, true), []);
         assert_eq!(new.turn(1 + AGAIN, true), [Effect::Visit]);
         assert!(matches!(&new.visited(1 + AGAIN)[..], [Effect::Send(Message::Hello { .. })]));
-        assert_eq!(new.hear(PERSISTENCE, busy(), 0), [Effect::Close, Effect::Listen, Effect::Serve]);
+        let listens = [Effect::Close, Effect::Listen, Effect::OpenStore, Effect::Serve];
+        assert_eq!(new.hear(PERSISTENCE, busy(), 0), listens);
     }
 
     #[test]
     fn a_predecessor_that_dies_or_hangs_leaves_the_queue_to_it() {
         let mut dies = new();
         dies.hear(1, offer(5), 1);
-        assert_eq!(dies.ended(), [Effect::Close, Effect::Serve]);
+        assert_eq!(dies.ended(), [Effect::Close, Effect::OpenStore, Effect::Serve]);
         let mut hangs = new();
         hangs.hear(1, offer(5), 1);
         hangs.turn(2, true);
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -4,7 +4,7 @@
 use cleatpulley_standin::host::look;
 use cleatpulley_standin::matcher::Matcher;
 use cleatpulley_standin::site::{Setup, Site};
-use cleatpulley_standin::trial::{Load, Trial};
+use cleatpulley_standin::trial::{Going, Load, Trial};
 use serde_json::Value;
 use std::io::{Read, Write};
 use std::net::TcpStream;
@@ -86,3 +86,99 @@
     stream.read_to_string(&mut text).expect("an answer and the end");
     assert_eq!(text.matches("HTTP/1.1").count(), 1, "{text}");
 }
+
+/// Callers at most of the cores' capacity, by frames and by AJP.
+fn under_load(share: f64, seconds: f64, processes: usize, seed: u64) -> Trial {
+    let site = Setup { seed, processes, ..Setup::default() };
+    let load = |front, share: f64| Load {
+        front,
+        rates: vec![((seconds * 1e6) as u64, share * site.capacity())],
+        connections: if front == Front::Frames { 4 } else { 48 },
+        body: 64,
+        key_field: None,
+    };
+    let loads = vec![load(Front::Frames, 0.7 * share), load(Front::Ajp, 0.3 * share)];
+    Trial { site, loads, ajp: String::new(), outside: String::new(), leave_at: None }
+}
+
+fn all_done(going: &Going) -> bool {
+    going.callers.iter().all(|callers| look(callers, |callers| callers.is_done()))
+}
+
+/// No request is lost, refused at the door or run twice, however often the process is replaced.
+#[test]
+fn twenty_upgrades_in_a_row_under_load_lose_nothing() {
+    const UPGRADES: usize = 20;
+    let trial = under_load(0.8, 9.0, UPGRADES + 1, 11);
+    let mut going = trial.start(&program()).expect("it starts");
+    std::thread::sleep(Duration::from_millis(300));
+    for number in 1..=UPGRADES {
+        let (ready, left) = going.upgrade(&program(), number).expect("an upgrade");
+        assert!(ready < Duration::from_secs(2), "{number}: ready after {ready:?}");
+        assert!(left < Duration::from_millis(3_700), "{number}: left after {left:?}");
+    }
+    while !all_done(&going) {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let report = going.judge();
+    assert_eq!(report.broken, Vec::<String>::new(), "{report}");
+    let unreachable: u64 = report.tallies.iter().map(|(.., tally)| tally.unreachable).sum();
+    assert_eq!(unreachable, 0, "{report}");
+    let frames = report.total(Front::Frames);
+    assert!(frames.in_time * 100 > frames.asked * 90, "{report}");
+}
+
+/// The new process dies in each step of an upgrade: the old one serves on, and the next attempt succeeds. Where the old one
+/// dies after the hand-over, nothing that waits is lost.
+#[test]
+fn whoever_dies_in_an_upgrade_the_other_goes_on() {
+    let trial = under_load(0.5, 6.0, 12, 12);
+    let mut going = trial.start(&program()).expect("it starts");
+    // Before it listens, while it asks, and after it has taken over, when what it read dies with it.
+    for (number, words) in ["", "operators are answered", "listens on", "takes clients"].iter().enumerate() {
+        let mut new = going.begin_upgrade(&program(), number + 1).expect("it starts");
+        if !words.is_empty() {
+            new.wait_for(words).expect("it gets there");
+        }
+        new.kill();
+        let begun = std::time::Instant::now();
+        while !matches!(going.matcher.ask("/_ready"), Ok((200, _))) {
+            assert!(begun.elapsed() < Duration::from_secs(2), "the old one serves again: {words}");
+            std::thread::sleep(Duration::from_millis(2));
+        }
+    }
+    going.upgrade(&program(), 6).expect("the next attempt succeeds");
+    while !all_done(&going) {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let report = going.judge();
+    let broken: Vec<_> = report.broken.iter().filter(|what| !what.contains("without an answer")).collect();
+    assert!(broken.is_empty(), "{report}");
+    let lost: u64 = report.tallies.iter().map(|(.., tally)| tally.lost).sum();
+    assert!(lost < 40, "only what the one that took over had read is lost: {report}");
+}
+
+/// A second upgrade begins while the first old process still answers what it read: three processes are alive.
+#[test]
+fn a_second_upgrade_may_come_while_the_first_is_not_over() {
+    let trial = under_load(0.7, 3.0, 4, 13);
+    let mut going = trial.start(&program()).expect("it starts");
+    std::thread::sleep(Duration::from_millis(500));
+    let mut second = going.begin_upgrade(&program(), 1).expect("it starts");
+    second.wait_ready(Duration::from_secs(6)).expect("ready");
+    let mut first = std::mem::replace(&mut going.matcher, second);
+    let mut third = going.begin_upgrade(&program(), 2).expect("it starts");
+    third.wait_ready(Duration::from_secs(6)).expect("ready");
+    let mut second = std::mem::replace(&mut going.matcher, third);
+    assert!(first.is_alive() && second.is_alive());
+    first.terminate();
+    second.terminate();
+    for old in [&mut first, &mut second] {
+        assert!(old.wait(Duration::from_secs(4)).expect("it ends").success());
+    }
+    while !all_done(&going) {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let report = going.judge();
+    assert_eq!(report.broken, Vec::<String>::new(), "{report}");
+}
