--- a/crates/exchange/src/keyed.rs
+++ b/crates/exchange/src/keyed.rs
@@ -183,7 +183,12 @@
     /// on, and a request with a key fails. False where it is too early for that.
     pub fn release_keys(&mut self) -> bool {
         let Some(keys) = &mut self.keys else { return false };
-        let quiet = keys.history.runs() == 0 && keys.history.open() == 0 && keys.early.is_empty();
+        // Also what waits for a result to be read.
+        let waits = |e: &Entry| matches!(e.stage, Stage::Waiting | Stage::Starting | Stage::Ending);
+        let quiet = keys.history.runs() == 0
+            && keys.history.open() == 0
+            && keys.early.is_empty()
+            && !self.entries.values().any(waits);
         if quiet {
             keys.history.release();
             keys.released = true;
--- a/crates/matcher/src/front.rs
+++ b/crates/matcher/src/front.rs
@@ -232,16 +232,26 @@
         while self.peers.len() > self.most && self.make_room(now, facts) {}
     }
 
+    /// Closes a connection that owes nothing, if there is one: the system has no descriptor left.
+    pub fn spare_one(&mut self, now: Micros, facts: &mut Vec<Fact>) {
+        self.make_room(now, facts);
+    }
+
+    /// All connections that were ever used have been told to close.
+    #[must_use]
+    pub fn is_sent_away(&self) -> bool {
+        let used = |peer: &Peer<W>| {
+            let status = peer.machine.status();
+            status.standing == Standing::Open && status.spoken
+        };
+        !self.peers.values().any(used)
+    }
+
     fn send_away(&mut self, now: Micros) {
         let (good, feedback) = (self.good, self.feedback);
         for (&number, peer) in &mut self.peers {
-            let status = peer.machine.status();
-            // Guards what is being written on it: its front end could only send it once more.
-            if status.standing != Standing::Open || !status.spoken || status.waits.is_some() {
-                continue;
-            }
             let context = Context { now, number, classes: &self.classes, good, feedback };
-            peer.machine.part(&context, peer.conn.output());
+            peer.send_away(&context);
             self.noted.push(number);
         }
     }
@@ -353,6 +363,10 @@
             let (good, feedback) = (self.good, self.feedback);
             let context = Context { now, number, classes: &self.classes, good, feedback };
             let next = peer.serve(&context, &mut self.arrivals);
+            if self.yielding {
+                peer.send_away(&context);
+                self.noted.push(number);
+            }
             facts.extend(self.arrivals.drain(..).map(Fact::Arrived));
             match next {
                 Ok(Next::Wait) => {}
@@ -575,6 +589,15 @@
         Ok(if more { Next::Again } else { Next::Wait })
     }
 
+    /// Tells the peer to close where nothing is on its way. Guards what is being written on it: its front end could only
+    /// send it once more.
+    fn send_away(&mut self, context: &Context) {
+        let status = self.machine.status();
+        if status.standing == Standing::Open && status.spoken && status.waits.is_none() {
+            self.machine.part(context, self.conn.output());
+        }
+    }
+
     /// Nothing is owed, and no more may come.
     fn rests(&self, now: Micros) -> bool {
         let status = self.machine.status();
--- a/crates/matcher/src/lib.rs
+++ b/crates/matcher/src/lib.rs
@@ -41,7 +41,7 @@
 /// What a front end sent before it read that it should not may come so long after the hand-over.
 const CROSSING: Micros = 60_000;
 /// A successor leaves room for its predecessor, and has at least so many connections.
-const FEWEST: usize = 12;
+const FEWEST: usize = 8;
 /// A process whose successor is there is stopped so long after the longest wait of a caller, of which no more than that
 /// counts.
 const AFTER_LONGEST: Micros = 700_000;
@@ -506,6 +506,7 @@
                     upgrade.post(address);
                 }
             }
+            upgrade::Step::MakeRoom => self.front.spare_one(now, &mut self.facts),
             upgrade::Step::OpenStore => self.open_store(),
             upgrade::Step::Beside(_) if planted(Bug::ShareTwice) => {}
             upgrade::Step::Beside(held) => {
@@ -575,6 +576,10 @@
     /// work: it has one owner at a time.
     fn pass_store_on(&mut self, now: Micros) {
         let Some((since, false)) = self.yielded else { return };
+        if !self.front.is_sent_away() {
+            self.yielded = Some((now, false));
+            return;
+        }
         if self.keeper.is_some() && now >= since + CROSSING && self.exchange.release_keys() {
             tracing::info!("upgrade: the successor has the store of results from here on");
             self.yielded = Some((since, true));
--- a/crates/matcher/src/upgrade.rs
+++ b/crates/matcher/src/upgrade.rs
@@ -13,6 +13,9 @@
 /// The number that successors are told of by.
 pub const PLACE: usize = (1 << 16) + 1;
 
+/// Wait after the system had no descriptor for a successor.
+const LET_IN: Micros = 20_000;
+
 type Passed<W> = <<W as World>::Passage as Passage>::Passed;
 
 /// What the node is to do.
@@ -33,6 +36,8 @@
     Yield,
     /// The successor is gone.
     Resume,
+    /// No descriptor is left for a successor: a connection that owes nothing is to be closed.
+    MakeRoom,
 }
 
 /// Both connections.
@@ -40,8 +45,9 @@
     world: W,
     meeting: Meeting,
     post: Option<W::Post>,
-    /// A successor may wait.
+    /// A successor may wait, and is let in no earlier than then.
     knocked: bool,
+    let_in_at: Micros,
     before: Option<(Successor, Option<W::Passage>)>,
     /// What came along with the message that is being heard.
     passed: Vec<Passed<W>>,
@@ -54,8 +60,16 @@
     #[must_use]
     pub fn new(world: W, meeting: Meeting, listen: &[SocketAddr]) -> Self {
         let after = (Predecessor::new(&meeting.name), None);
-        let mut new =
-            Self { world, meeting, post: None, knocked: false, before: None, passed: Vec::new(), after };
+        let mut new = Self {
+            world,
+            meeting,
+            post: None,
+            knocked: false,
+            let_in_at: 0,
+            before: None,
+            passed: Vec::new(),
+            after,
+        };
         // Where the system chooses the port, nobody can be there.
         if new.meeting.address.port() != 0 {
             match new.world.visit(&new.meeting, Party::Predecessor) {
@@ -134,7 +148,7 @@
             let effects = decides.turn(now, up);
             self.before_goes(now, effects, steps);
         }
-        self.welcome(now);
+        self.welcome(now, steps);
         self.hear_after(now, listens, steps);
         let effects = self.after.0.turn(now, held);
         self.after_goes(effects, listens, steps);
@@ -156,7 +170,8 @@
     #[must_use]
     pub fn next(&self) -> Option<Micros> {
         let before = self.before.as_ref().and_then(|(decides, _)| decides.next());
-        [before, self.after.0.next()].into_iter().flatten().min()
+        let let_in = (self.knocked && self.let_in_at > 0).then_some(self.let_in_at);
+        [before, self.after.0.next(), let_in].into_iter().flatten().min()
     }
 
     fn hear_before(&mut self, now: Micros, steps: &mut Vec<Step<W>>) {
@@ -231,8 +246,8 @@
     }
 
     /// Lets a successor in where none is there; others hear that it is not their turn.
-    fn welcome(&mut self, now: Micros) {
-        while std::mem::take(&mut self.knocked) {
+    fn welcome(&mut self, now: Micros, steps: &mut Vec<Step<W>>) {
+        while now >= self.let_in_at && std::mem::take(&mut self.knocked) {
             let Some(post) = &self.post else { return };
             match self.world.welcome(post, Party::Successor) {
                 Ok(passage) if self.after.0.receives() => {
@@ -245,7 +260,16 @@
                     let _ = passage.send(&Message::Refused { why }.encode(), &[]);
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                Err(e) => tracing::warn!("upgrade: a successor was not let in: {e}"),
+                // One of another user is gone with this; the next may wait behind it.
+                Err(e) if e.kind() == ErrorKind::PermissionDenied => {
+                    tracing::warn!("upgrade: somebody was not let in: {e}");
+                }
+                Err(e) => {
+                    // Guards against a loop at full speed while descriptors are short.
+                    tracing::warn!("upgrade: a successor is not let in yet: {e}");
+                    self.let_in_at = now + LET_IN;
+                    steps.push(Step::MakeRoom);
+                }
             }
             self.knocked = true;
         }
--- a/crates/rig/src/hall.rs
+++ b/crates/rig/src/hall.rs
@@ -160,8 +160,9 @@
     pub(crate) fn welcome(&self, world: &Virtual) -> io::Result<VirtualPassage> {
         let mut hall = self.hall.borrow_mut();
         let mine = hall.post.as_mut().filter(|(life, _)| *life == self.life);
-        let number = mine.and_then(|(_, waiting)| waiting.pop_front()).ok_or(ErrorKind::WouldBlock)?;
+        let (_, waiting) = mine.filter(|(_, waiting)| !waiting.is_empty()).ok_or(ErrorKind::WouldBlock)?;
         self.net.borrow_mut().hold(self.process)?;
+        let number = waiting.pop_front().ok_or(ErrorKind::WouldBlock)?;
         let (net, hall) = (Rc::clone(&world.net), Rc::clone(&world.hall));
         Ok(VirtualPassage { net, hall, process: self.process, number, side: 1 })
     }
--- a/crates/rig/src/machine.rs
+++ b/crates/rig/src/machine.rs
@@ -248,6 +248,11 @@
         process.turns = if process.turns.0 == now { (now, process.turns.1 + 1) } else { (now, 0) };
         let next = process.node.turn();
         if let Some(fault) = process.node.fault() {
+            // A new process that can't have its sockets ends, and the one that serves goes on.
+            if self.rollouts.iter().any(|rollout| rollout.new == life && rollout.told_at.is_none()) {
+                self.meet("a new process without descriptors ends");
+                return self.remove(m, life);
+            }
             self.broken.push(format!("m{m} can't go on: {fault}"));
             return;
         }
--- a/crates/rig/src/rollout.rs
+++ b/crates/rig/src/rollout.rs
@@ -20,12 +20,12 @@
     pub machine: usize,
     /// The lives of both processes.
     old: u64,
-    new: u64,
+    pub new: u64,
     ready_by: Micros,
     kill: Option<(u64, Micros)>,
     /// When the old one is told to leave, and when it was.
     tell_at: Option<Micros>,
-    told_at: Option<Micros>,
+    pub told_at: Option<Micros>,
 }
 
 impl Sim {
--- a/crates/upgrade/src/successor.rs
+++ b/crates/upgrade/src/successor.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 /// A predecessor answers within this time, or is left to itself.
-pub const PATIENCE: Micros = 1_000_000;
+pub const PATIENCE: Micros = 2_000_000;
 /// Wait before one that is busy with another successor is asked again.
 const AGAIN: Micros = 100_000;
 /// So long it is asked again.
