--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -559,7 +559,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use cleatpulley_matcher::world::{Keeper, Stream};
+    use cleatpulley_matcher::world::{Keeper, Meeting, Passage, Stream};
     use cleatpulley_policy::interface::RequestId;
     use cleatpulley_results::record::ScopedKey;
     use std::cell::{Cell, RefCell};
@@ -582,9 +582,26 @@
     impl Keeper for NoKeeper {
         fn write(&self, _: cleatpulley_exchange::history::Effect) {}
         fn recall(&self, _: Micros, _: RequestId, _: u64, _: ScopedKey) {}
+        fn release(&mut self) {}
         fn stop(self) {}
     }
 
+    /// Nobody is met in these tests.
+    struct Nobody;
+
+    impl Passage for Nobody {
+        type Listener = ();
+        type Passed = ();
+
+        fn send(&self, _: &[u8], _: &[&()]) -> io::Result<()> {
+            Err(ErrorKind::NotConnected.into())
+        }
+
+        fn receive(&self) -> io::Result<(Vec<u8>, Vec<()>)> {
+            Err(ErrorKind::NotConnected.into())
+        }
+    }
+
     impl Stream for Fake {
         fn read(&self, buffer: &mut [u8]) -> io::Result<usize> {
             let mut sends = self.sends.borrow_mut();
@@ -618,6 +635,24 @@
         type Stream = Self;
         type Listener = ();
         type Keeper = NoKeeper;
+        type Post = ();
+        type Passage = Nobody;
+
+        fn adopt(&self, (): (), _: SocketAddr, _: usize) -> io::Result<()> {
+            Ok(())
+        }
+
+        fn post(&self, _: &Meeting, _: usize) -> io::Result<()> {
+            Ok(())
+        }
+
+        fn welcome(&self, (): &(), _: Party) -> io::Result<Nobody> {
+            Err(ErrorKind::WouldBlock.into())
+        }
+
+        fn visit(&self, _: &Meeting, _: Party) -> io::Result<Nobody> {
+            Err(ErrorKind::NotFound.into())
+        }
 
         fn now(&self) -> Micros {
             0
--- a/crates/matcher/src/operators.rs
+++ b/crates/matcher/src/operators.rs
@@ -16,12 +16,12 @@
 /// Callers at a time. What is beyond that pushes out who has waited longest without a whole call.
 pub const PLACES: usize = 16;
 /// Connections accepted in one turn: a crowd here may not keep the clients waiting.
-const ACCEPTS: usize = 64;
+const ACCEPTS: usize = 128;
 /// Wait after the system had no descriptor for a new connection.
 const ACCEPT_PAUSE: Micros = 50_000;
 const READ_AT_ONCE: usize = 16_384;
 /// A connection that was accepted so lately is not pushed out by the next.
-const FAIR: Micros = 2_000;
+const FAIR: Micros = 500;
 
 struct Caller<W: World> {
     conn: Conn<W>,
--- a/crates/standin/src/trial.rs
+++ b/crates/standin/src/trial.rs
@@ -268,6 +268,19 @@
 }
 
 impl Report {
+    /// Adds another's: tallies, broken rules, calls and CPU are summed, of peaks the higher one counts. Latencies stay those
+    /// of the first.
+    pub fn add(&mut self, other: Self) {
+        for ((.., tally), (.., more)) in self.tallies.iter_mut().zip(&other.tallies) {
+            tally.add(more);
+        }
+        self.broken.extend(other.broken);
+        self.most_running = self.most_running.max(other.most_running);
+        self.calls = (self.calls.0 + other.calls.0, self.calls.1.max(other.calls.1));
+        self.memory_kb = self.memory_kb.max(other.memory_kb);
+        self.cpu += other.cpu;
+    }
+
     /// The figures of one front, all classes together.
     #[must_use]
     pub fn total(&self, front: Front) -> Tally {
--- a/src/config.rs
+++ b/src/config.rs
@@ -140,7 +140,8 @@
         let mut json = serde_json::Deserializer::from_str(text);
         let file: File = serde_path_to_error::deserialize(&mut json).map_err(|e| {
             let path = e.path().to_string();
-            if path == "." {
+            // No key where the text ends early.
+            if path == "." || path == "?" {
                 e.into_inner().to_string()
             } else {
                 format!("{path}: {}", e.inner())
--- a/src/main.rs
+++ b/src/main.rs
@@ -84,6 +84,8 @@
     /// Play whole matchers on a virtual clock with faults from seeds, and check the rules after each step
     #[command(subcommand)]
     Seeds(tools::seeds::Seeds),
+    /// Put a new process in the place of one that serves, and show each step; ends with 1 where the old one serves on
+    Upgrade(tools::upgrade::Upgrade),
     /// Start, drain and replace many instances on one host
     #[command(subcommand)]
     Fleet(tools::fleet::Fleet),
@@ -149,6 +151,24 @@
 }
 
 impl Sourced {
+    /// The same as arguments of another process; what the environment says it hears by itself.
+    fn args(&self) -> Vec<std::ffi::OsString> {
+        let mut args: Vec<std::ffi::OsString> = Vec::new();
+        let mut push = |name: &str, value: std::ffi::OsString| args.extend([name.into(), value]);
+        if let Some(file) = &self.config {
+            push("--config", file.into());
+        }
+        if let Some(file) = &self.operator {
+            push("--operator", file.into());
+        }
+        for (name, value) in [("--name", &self.name), ("--listen", &self.listen), ("--mgmt", &self.mgmt)] {
+            if let Some(value) = value {
+                push(name, value.into());
+            }
+        }
+        args
+    }
+
     fn load(self) -> Result<(Config, Operator, Sources), String> {
         let sources = Sources { file: self.config, name: self.name, listen: self.listen, mgmt: self.mgmt };
         let sources = sources.or_environment(|key| std::env::var(key).ok());
@@ -180,7 +200,10 @@
 fn main() -> ExitCode {
     let cli = Cli::parse();
     // Simulated matchers would log as if they were real.
-    let quiet = matches!(cli.command, Command::Seeds(_) | Command::Check(tools::bench::Check::Seeds));
+    let quiet = matches!(
+        cli.command,
+        Command::Seeds(_) | Command::Check(tools::bench::Check::Seeds | tools::bench::Check::Service)
+    );
     log_to_standard_error(cli.log, quiet);
     match run(cli.command) {
         Ok(code) => code,
@@ -207,6 +230,7 @@
     match command {
         Command::Ajp(ask) => return tools::ajp::run(ask),
         Command::Check(check) => return tools::bench::run(&check),
+        Command::Upgrade(upgrade) => return tools::upgrade::run(upgrade),
         Command::Fleet(fleet) => return tools::fleet::run(&fleet),
         Command::Keep(keep) => return tools::keep::run(&keep),
         Command::Seeds(seeds) => return tools::seeds::run(&seeds),
