--- a/crates/keep/tests/crashes.rs
+++ b/crates/keep/tests/crashes.rs
@@ -244,3 +244,33 @@
     let fault = Store::open(newer, options()).err().expect("newer").to_string();
     assert!(fault.contains("format 9"), "{fault}");
 }
+
+/// Guards against a last segment that was never written to and whose sync had failed: the next process must not write
+/// there, as the system has forgotten its pages and reports no error for them any more.
+#[test]
+fn what_another_process_writes_after_a_failed_sync_is_durable() {
+    for step in 0..60 {
+        let disk = Memory::default();
+        let (mut store, _) = Store::open(disk.clone(), options()).expect("nothing fails");
+        store.write(Batch::default().put(b"a", b"1", None)).expect("nothing fails");
+        store.sync().expect("nothing fails");
+        drop(store);
+        disk.release();
+        // A process whose disk fails at some step, and which then ends without the machine.
+        disk.set_faults(&[Fault::Fail(step)]);
+        if let Ok((mut store, _)) = Store::open(disk.clone(), options()) {
+            let written = store.write(Batch::default().put(b"b", b"2", None));
+            let _ = written.and_then(|_| store.sync());
+        }
+        disk.set_faults(&[]);
+        disk.release();
+        let (mut store, _) = Store::open(disk.clone(), options()).expect("nothing fails any more");
+        store.write(Batch::default().put(b"c", b"3", None)).expect("nothing fails any more");
+        store.sync().expect("nothing fails any more");
+        drop(store);
+        let (store, _) = Store::open(disk.crash(step), options()).expect("it recovers");
+        for (key, value) in [(b"a", b"1"), (b"c", b"3")] {
+            assert_eq!(store.get(0, key).expect("whole").as_deref(), Some(&value[..]), "step {step}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/matcher/src/handover.rs
@@ -0,0 +1,197 @@
+//! A matcher in an upgrade: what it does when its [`Upgrade`](super::upgrade::Upgrade) says so, as the process whose place is
+//! taken and as the one that takes it.
+
+use super::world::{Keeper, World};
+use super::{operators, upgrade, Node, SPARE};
+use cleatpulley_exchange::history::History;
+use cleatpulley_exchange::Fact;
+use cleatpulley_policy::interface::Micros;
+use cleatpulley_policy::plant::{planted, Bug};
+use cleatpulley_upgrade::{snapshot, Held};
+
+/// What a front end sent before it read that it should not may come so long after the hand-over.
+pub(super) const CROSSING: Micros = 60_000;
+/// A successor leaves room for its predecessor, and has at least so many connections.
+const FEWEST: usize = 8;
+/// A process whose successor is there is stopped so long after the longest wait of a caller, of which no more than that
+/// counts.
+const AFTER_LONGEST: Micros = 700_000;
+const LONGEST_WAIT: Micros = 3_000_000;
+
+impl<W: World> Node<W> {
+    /// The notice to leave, where another process has its place: nobody is sent elsewhere, and what was read is answered.
+    pub(super) fn leave_to_successor(&mut self, now: Micros) {
+        let stop = self.stop.min(self.longest.min(LONGEST_WAIT) + AFTER_LONGEST);
+        tracing::info!("leaving within {} ms, to its successor", stop / 1_000);
+        let stop_at = now + stop;
+        self.stop_at = Some(stop_at);
+        self.succeeded = true;
+        // Its listening sockets stay, in case the successor dies: nothing is accepted from them before that.
+        self.facts.push(Fact::Succeeded { stop_at });
+    }
+
+    /// Goes on with taking another process's place, or giving up its own.
+    pub(super) fn go_on_with_upgrade(&mut self, now: Micros) {
+        let Some(mut upgrade) = self.upgrade.take() else { return };
+        let mut steps = Vec::new();
+        let listens: Vec<_> = self.front.listeners().collect();
+        upgrade.turn(now, self.runtime.up(), &listens, || self.held(), &mut steps);
+        for step in steps {
+            self.take_step(now, step, &mut upgrade);
+        }
+        self.upgrade = Some(upgrade);
+    }
+
+    fn take_step(&mut self, now: Micros, step: upgrade::Step<W>, upgrade: &mut upgrade::Upgrade<W>) {
+        match step {
+            upgrade::Step::Adopt(_) if planted(Bug::SocketDropped) => self.listen(),
+            upgrade::Step::Adopt(passed) => {
+                for (address, passed) in passed {
+                    let adopted = self.front.adopt(address, |place| self.world.adopt(passed, address, place));
+                    match adopted {
+                        Ok(true) => tracing::info!("{} listens on {address}, which was passed on", self.name),
+                        Ok(false) => {}
+                        Err(e) => tracing::warn!("upgrade: {address} is listened on anew: {e}"),
+                    }
+                }
+                self.listen();
+            }
+            upgrade::Step::Listen => {
+                tracing::warn!("upgrade: nothing was passed on; listens beside the process that serves");
+                self.listen();
+            }
+            upgrade::Step::Serve => {
+                tracing::info!("upgrade: takes clients");
+                self.front.resume();
+                let first = self.front.listeners().next();
+                if let Some((address, _)) = first {
+                    upgrade.post(address);
+                }
+            }
+            upgrade::Step::MakeRoom => self.front.spare_one(now, &mut self.facts),
+            upgrade::Step::OpenStore => self.open_store(),
+            upgrade::Step::Beside(_) if planted(Bug::ShareTwice) => {}
+            upgrade::Step::Beside(held) => {
+                let Held { running, memory_kb, calls, .. } = held;
+                self.beside = held;
+                self.facts.push(Fact::Beside { running, memory_kb, calls });
+                self.share_descriptors(now);
+            }
+            upgrade::Step::Learn(text) => {
+                let site = snapshot::site(&self.name, &self.class_names);
+                let learned = snapshot::decode(site, now, &text).map_err(|e| e.to_string());
+                match learned.and_then(|learned| self.exchange.learn(&learned)) {
+                    Ok(()) => {
+                        self.learned = true;
+                        tracing::info!("upgrade: goes on with what the predecessor had learned");
+                    }
+                    Err(e) => {
+                        tracing::warn!("upgrade: what the predecessor had learned is not believed: {e}")
+                    }
+                }
+            }
+            upgrade::Step::Yield => {
+                tracing::info!("upgrade: a successor takes clients from here on");
+                self.yielded = Some((now, false));
+                self.front.give_way(now);
+                self.share_descriptors(now);
+                let site = snapshot::site(&self.name, &self.class_names);
+                upgrade.yielded(self.held(), snapshot::encode(site, now, &self.exchange.learned()));
+            }
+            upgrade::Step::Resume => {
+                if let (Some((_, true)), Some((_, bounds))) = (self.yielded.take(), &self.kept_in) {
+                    self.exchange.take_keys(History::new(*bounds));
+                    self.close();
+                    self.open_store();
+                }
+                self.front.resume();
+                self.share_descriptors(now);
+                if std::mem::take(&mut self.succeeded) {
+                    tracing::error!("upgrade: the successor is gone, and this process leaves as well");
+                    // From here on it is an ordinary drain: callers are sent elsewhere.
+                    self.facts.extend(self.stop_at.map(|stop_at| Fact::Drain { stop_at }));
+                    self.front.leave(now);
+                    return;
+                }
+                tracing::warn!("upgrade: the successor is gone; takes clients again");
+                let first = self.front.listeners().next();
+                if let Some((address, _)) = first {
+                    upgrade.post(address);
+                }
+            }
+        }
+    }
+
+    /// Opens the store of results, where there is one and it is not open.
+    fn open_store(&mut self) {
+        let Some((folder, bounds)) = self.kept_in.clone().filter(|_| self.keeper.is_none()) else { return };
+        match self.world.keeper(folder, bounds.seed) {
+            Ok(keeper) => self.keeper = Some(keeper),
+            Err(e) => {
+                tracing::error!("results: nothing can be kept: {e}");
+                self.facts.push(Fact::Keeping(false));
+            }
+        }
+    }
+
+    /// Lets go of the store of results once a successor is here, what crossed the hand-over has come, and no key is at
+    /// work: it has one owner at a time.
+    pub(super) fn pass_store_on(&mut self, now: Micros) {
+        let Some((since, false)) = self.yielded else { return };
+        if !self.front.is_sent_away() {
+            self.yielded = Some((now, false));
+            return;
+        }
+        if self.keeper.is_some() && now >= since + CROSSING && self.exchange.release_keys() {
+            tracing::info!("upgrade: the successor has the store of results from here on");
+            self.yielded = Some((since, true));
+            if let Some(keeper) = &mut self.keeper {
+                keeper.release();
+            }
+            if let Some(upgrade) = &mut self.upgrade {
+                upgrade.store_free();
+            }
+        }
+    }
+
+    /// Holds no more descriptors than leaves room for the other processes of this matcher: all of them together have
+    /// those of one.
+    fn share_descriptors(&mut self, now: Micros) {
+        let beside = self.beside.descriptors > 0;
+        // What the other still has, and what each process needs for itself.
+        let taken = if beside { self.beside.descriptors + SPARE / 2 } else { 0 };
+        let most = self.most.saturating_sub(taken);
+        let (most, asked) = match (self.yielded, beside) {
+            (Some(_), _) => (most.min(self.most / 3), operators::PLACES / 4),
+            (None, true) => (most, operators::PLACES / 2),
+            (None, false) => (most, operators::PLACES),
+        };
+        self.front.set_most(now, most.max(FEWEST.min(self.most)), &mut self.facts);
+        if let Some(operators) = &mut self.operators {
+            operators.set_most(asked);
+        }
+    }
+
+    fn listen(&mut self) {
+        match self.front.listen_expected() {
+            Ok(addresses) => {
+                for address in addresses {
+                    tracing::info!("{} listens on {address}", self.name);
+                }
+            }
+            Err(e) => self.fault = Some(e),
+        }
+    }
+
+    /// What it has of the machine, and what the process has whose place it has taken: its successor hears of that one
+    /// only here.
+    pub(super) fn held(&self) -> Held {
+        let (running, memory_kb, calls) = self.exchange.held();
+        Held {
+            running: running + self.beside.running,
+            memory_kb: memory_kb + self.beside.memory_kb,
+            calls: calls + self.beside.calls,
+            descriptors: self.census().descriptors + self.beside.descriptors,
+        }
+    }
+}
--- a/crates/rig/tests/seeds.rs
+++ b/crates/rig/tests/seeds.rs
@@ -21,6 +21,10 @@
         "spoilt store replies",
         "more than half of the memory is used",
         "a repeat is told the first answer",
+        "left to its successor",
+        "goes on with what was learned",
+        "the new process dies before it is believed",
+        "the old process dies in an upgrade",
     ] {
         assert!(summary.met.contains_key(name), "{name} was not met: {:?}", summary.met);
     }
--- a/tests/results.rs
+++ b/tests/results.rs
@@ -234,3 +234,38 @@
     assert!(asked > 10);
     assert!(report.log.iter().any(|line| line.contains("nothing can be kept for now")));
 }
+
+/// While one process takes the place of another, a repeat at the new one gets the answer of the run at the old one; keys that
+/// come later run at the new one; the store has one owner at a time.
+#[test]
+fn a_repeat_in_an_upgrade_gets_the_first_answer() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let folder = dir.path().join("kept");
+    let mut setup = Kills::site(4);
+    setup.classes[0].work = (150_000, 150_000);
+    setup.processes = 2;
+    let site = Site::start(setup).expect("a site");
+    let mut old = Matcher::start(&program(), &site.config, Some(&operator(&folder))).expect("it starts");
+    let mut first = Line::new(&old);
+    first.ask(1, "a", "seat 7");
+    while look(&site.runtime, |runtime| runtime.running()) == 0 {
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    let mut config = site.config.clone();
+    config["runtime"] = site.runtimes[1].to_string().into();
+    let mut new = old.begin_successor(&program(), &config).expect("it starts");
+    new.wait_ready(Duration::from_secs(6)).expect("it takes clients");
+    old.terminate();
+    // The old one's key still runs there.
+    let mut second = Line::new(&new);
+    second.ask(2, "a", "seat 7");
+    second.ask(3, "b", "seat 8");
+    let answers = [second.answer(), second.answer()];
+    let expected = [1, 3].map(|id| (0, cleatpulley_standin::runtime::result_of(id)));
+    assert_eq!(first.answer(), expected[0]);
+    assert!(expected.iter().all(|one| answers.contains(one)), "{answers:?}");
+    drop(first);
+    assert!(old.wait(Duration::from_secs(5)).expect("it ends").success(), "{}", old.log().join("\n"));
+    assert_eq!(look(&site.runtime, |runtime| runtime.seen.starts.len()), 2, "one run for each key");
+    assert!(new.wait_for("results: 1 keys, 0 of them may have run").is_ok(), "{}", new.log().join("\n"));
+}
