Admit connections by caps, fair shares and a reserve, where the operator file says so

A flood that says one whole word and stays takes every place of the front for good: the next connection waits 386 ms and more. crates/admission decides at each accept, front obeys it for every protocol; off without the section, and then as before. Earned standing goes to the successor in an upgrade.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The tasks of this repository; each is what its name says.
 CONFIG ?= $(GW_CONFIG)
 
-.PHONY: build test lint run demo check-ajp bench-ajp check-keep bench-keep check-results bench-results check-seeds bench-seeds check-fleet bench-fleet check-routes bench-routes check-service bench-service
+.PHONY: build test lint run demo check-ajp bench-ajp check-keep bench-keep check-results bench-results check-seeds bench-seeds check-fleet bench-fleet check-routes bench-routes check-service bench-service check-admission bench-admission
 build:
 	cargo build --locked --release
 
@@ -45,6 +45,10 @@
 	cargo build --locked --release --features planted --target-dir target/planted
 	target/planted/release/cleatpulley check service
 
+# What a decision on a connection costs at a million addresses, and who is served in a flood; 1 where it falls short.
+check-admission bench-admission: build
+	target/release/cleatpulley check admission
+
 check-seeds bench-seeds:
 	cargo build --locked --release --features planted --target-dir target/planted
 	target/planted/release/cleatpulley check seeds
--- a/crates/matcher/src/front.rs
+++ b/crates/matcher/src/front.rs
@@ -4,6 +4,8 @@
 use super::conn::Conn;
 use super::world::{Readiness, World};
 use super::Party;
+use cleatpulley_admission::admit::Known;
+use cleatpulley_admission::{Admission, Decision};
 use cleatpulley_exchange::{Answer, Arrival, Fact, Origin};
 use cleatpulley_policy::interface::Micros;
 use cleatpulley_policy::plant::{planted, Bug};
@@ -133,6 +135,8 @@
     resting: bool,
     /// Connections are sent away as soon as nothing is on its way on them.
     yielding: bool,
+    /// Who gets a place, where that is not first come, first served.
+    admission: Option<Admission>,
 }
 
 impl<W: World> Front<W> {
@@ -158,9 +162,26 @@
             parting: false,
             resting: false,
             yielding: false,
+            admission: None,
         }
     }
 
+    /// Lets these decisions say who gets a place.
+    pub fn set_admission(&mut self, admission: Admission) {
+        self.admission = Some(admission);
+    }
+
+    /// The decisions on places, where there are any.
+    #[must_use]
+    pub fn admission(&self) -> Option<&Admission> {
+        self.admission.as_ref()
+    }
+
+    /// The same, for what another process hands on.
+    pub fn admission_mut(&mut self) -> Option<&mut Admission> {
+        self.admission.as_mut()
+    }
+
     /// Adds an address whose listening socket comes later.
     pub fn expect(&mut self, address: SocketAddr, speaks: Speaks) {
         self.doors.push(Door { address, listener: None, speaks, acceptable: false });
@@ -317,6 +338,9 @@
         let context = Context { now, number: to.connection, classes: &self.classes, good, feedback };
         if peer.machine.answer(&context, to.stream, answer, peer.conn.output()) {
             self.noted.push(to.connection);
+            if let (Some(admission), Answer::Served(_)) = (&mut self.admission, answer) {
+                admission.served(now, to.connection);
+            }
         }
     }
 
@@ -363,6 +387,9 @@
             let (good, feedback) = (self.good, self.feedback);
             let context = Context { now, number, classes: &self.classes, good, feedback };
             let next = peer.serve(&context, &mut self.arrivals);
+            if let (Some(admission), true) = (&mut self.admission, peer.machine.status().spoken) {
+                admission.spoke(number);
+            }
             if self.yielding {
                 peer.send_away(&context);
                 self.noted.push(number);
@@ -419,6 +446,9 @@
             if peer.machine.status().open > 0 {
                 facts.push(Fact::OriginLost(number));
             }
+            if let Some(admission) = &mut self.admission {
+                admission.leave(number);
+            }
             self.doors.iter_mut().for_each(|door| door.acceptable = true);
         }
     }
@@ -461,8 +491,10 @@
             if !self.doors[place].acceptable {
                 return;
             }
-            // Those beyond the bound wait with the system, where they cost us nothing.
-            if self.peers.len() >= self.most && !self.make_room(now, facts) {
+            // Those beyond the bound wait with the system, where they cost us nothing; but where it matters who comes, a known
+            // caller may stand behind them, and only accepting tells.
+            let full = self.peers.len() >= self.most && self.admission.is_none();
+            if full && !self.make_room(now, facts) {
                 self.accept_at = now + ACCEPT_PAUSE;
                 return;
             }
@@ -495,8 +527,19 @@
             self.numbers = number;
             let mut conn = Conn::new(stream);
             let mut machine = door.speaks.machine(now, address);
+            let known = self.admit(now, address, facts);
             let (good, feedback) = (self.good, self.feedback);
             let context = Context { now, number, classes: &self.classes, good, feedback };
+            let Some(known) = known else {
+                // A word where the protocol has one, if it can be said at once.
+                machine.part(&context, conn.output());
+                conn.note(Readiness { readable: false, writable: true });
+                let _ = conn.flush();
+                continue;
+            };
+            if let Some(admission) = &mut self.admission {
+                admission.enter(now, number, address, known);
+            }
             if self.leaving {
                 machine.leave(&context, conn.output());
             }
@@ -507,6 +550,29 @@
         }
     }
 
+    /// Whether a connection from this address gets a place, and how its caller is known; another may lose its own for it.
+    fn admit(&mut self, now: Micros, address: IpAddr, facts: &mut Vec<Fact>) -> Option<Known> {
+        let Some(admission) = &mut self.admission else { return Some(Known::Unknown) };
+        let peers = &self.peers;
+        let spare = |number: u64| {
+            peers.get(&number).is_some_and(|peer| {
+                let status = peer.machine.status();
+                status.open == 0 && (peer.lingers.is_some() || !status.spoken || status.waits.is_none())
+            })
+        };
+        match admission.decide(now, address, self.most, spare) {
+            Decision::Admit(known) => Some(known),
+            Decision::Instead(number, known) => {
+                self.close(number, facts);
+                Some(known)
+            }
+            Decision::Refuse(why) => {
+                tracing::debug!("a connection from {address} gets no place: {why:?}");
+                None
+            }
+        }
+    }
+
     fn sweep(&mut self, now: Micros) {
         if self.yielding {
             self.send_away(now);
--- a/crates/matcher/src/handover.rs
+++ b/crates/matcher/src/handover.rs
@@ -69,6 +69,12 @@
                 }
             }
             upgrade::Step::MakeRoom => self.front.spare_one(now, &mut self.facts),
+            upgrade::Step::Standing(standing) => {
+                if let Some(admission) = self.front.admission_mut() {
+                    tracing::info!("upgrade: {} callers have earned standing", standing.len());
+                    admission.import(now, &standing);
+                }
+            }
             upgrade::Step::OpenStore => self.open_store(),
             upgrade::Step::Beside(_) if planted(Bug::ShareTwice) => {}
             upgrade::Step::Beside(held) => {
@@ -96,7 +102,9 @@
                 self.front.give_way(now);
                 self.share_descriptors(now);
                 let site = snapshot::site(&self.name, &self.class_names);
-                upgrade.yielded(self.held(), snapshot::encode(site, now, &self.exchange.learned()));
+                let standing =
+                    self.front.admission().map_or_else(Vec::new, |admission| admission.export(now));
+                upgrade.yielded(self.held(), snapshot::encode(site, now, &self.exchange.learned()), standing);
             }
             upgrade::Step::Resume => {
                 if let (Some((_, true)), Some((_, bounds))) = (self.yielded.take(), &self.kept_in) {
--- a/crates/matcher/src/lib.rs
+++ b/crates/matcher/src/lib.rs
@@ -19,6 +19,7 @@
 
 pub use real::serve;
 
+use cleatpulley_admission::{Admission, Settings as Admitting};
 use cleatpulley_exchange::history::{Bounds, History};
 use cleatpulley_exchange::{Command, Exchange, Fact, Keys, Owner};
 use cleatpulley_policy::interface::Micros;
@@ -138,6 +139,8 @@
     pub store_speaks: store::Speaks,
     /// Kept results, where they are kept.
     pub results: Option<Results>,
+    /// Who gets a place, where that is not first come, first served.
+    pub admission: Option<Admitting>,
 }
 
 /// Reads the configuration again: the addresses that hold from now on, or what is wrong with it.
@@ -211,6 +214,9 @@
         let asked = options.mgmt.map_or(0, |_| operators::PLACES + 1);
         let most = options.sockets.saturating_sub(SPARE + calls + asked).max(1);
         let mut front = front::Front::new(world.clone(), options.class_names.clone(), most);
+        if let Some(settings) = options.admission {
+            front.set_admission(Admission::new(settings, world.now()));
+        }
         let key_field =
             options.results.as_ref().and_then(|results| results.frame_field.as_deref()).map(Rc::from);
         let mut doors = vec![(options.listen, front::Speaks::Frames(key_field))];
@@ -536,6 +542,7 @@
     }
 
     fn vars(&self) -> Vec<u8> {
-        report::vars(&self.class_names, self.exchange.counts(), self.exchange.unanswered())
+        let admission = self.front.admission().map(|admission| admission.counts);
+        report::vars(&self.class_names, self.exchange.counts(), self.exchange.unanswered(), admission)
     }
 }
--- a/crates/matcher/src/report.rs
+++ b/crates/matcher/src/report.rs
@@ -1,6 +1,7 @@
 //! The link to a fleet's daemon on the same host: how the matcher is, a line at a time. It decides nothing by it, and a
 //! daemon that is away or slow costs it nothing.
 
+use cleatpulley_admission::admit::Counts as Places;
 use cleatpulley_exchange::{Counts, Tally};
 use rustix::net::{sendmsg, SendAncillaryBuffer, SendAncillaryMessage, SendFlags};
 use serde::Serialize;
@@ -33,7 +34,7 @@
 
 /// The figures that operators are told, as JSON.
 #[must_use]
-pub fn vars(names: &[String], counts: &Counts, open: usize) -> Vec<u8> {
+pub fn vars(names: &[String], counts: &Counts, open: usize, places: Option<Places>) -> Vec<u8> {
     let operation = |tally: &Tally| {
         json!({
             "fulfilled": tally.served,
@@ -44,12 +45,21 @@
     };
     let operations: Map<_, _> =
         names.iter().zip(counts.classes()).map(|(name, tally)| (name.clone(), operation(tally))).collect();
-    let bytes = json!({
+    let mut figures = json!({
         "operations": operations,
         "open_requests": open,
         "relayed": counts.total().relayed,
     });
-    let mut bytes = bytes.to_string().into_bytes();
+    if let Some(places) = places {
+        figures["connections"] = json!({
+            "admitted": places.admitted,
+            "in_place_of_another": places.instead,
+            "refused_by_rate": places.rate,
+            "refused_by_places": places.places,
+            "refused_as_full": places.full,
+        });
+    }
+    let mut bytes = figures.to_string().into_bytes();
     bytes.push(b'\n');
     bytes
 }
--- a/crates/matcher/src/upgrade.rs
+++ b/crates/matcher/src/upgrade.rs
@@ -4,11 +4,12 @@
 use super::world::{Meeting, Passage, World};
 use super::Party;
 use cleatpulley_policy::interface::Micros;
+use cleatpulley_upgrade::message::MOST_STANDING;
 use cleatpulley_upgrade::predecessor::{self, Predecessor};
 use cleatpulley_upgrade::successor::{self, Successor};
 use cleatpulley_upgrade::{Held, Message};
 use std::io::{self, ErrorKind};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 /// The number that successors are told of by.
 pub const PLACE: usize = (1 << 16) + 1;
@@ -32,6 +33,8 @@
     Beside(Held),
     /// What the other process has learned.
     Learn(String),
+    /// Callers that have earned standing there.
+    Standing(Vec<(IpAddr, f64)>),
     /// Accept no more, send connections away, and then [`yielded`](Upgrade::yielded) is to be told of it.
     Yield,
     /// The successor is gone.
@@ -155,8 +158,9 @@
     }
 
     /// The node has yielded.
-    pub fn yielded(&mut self, held: Held, learned: String) {
-        let effects = vec![predecessor::Effect::Send(Message::Yours { held, learned })];
+    pub fn yielded(&mut self, held: Held, learned: String, mut standing: Vec<(IpAddr, f64)>) {
+        standing.truncate(MOST_STANDING);
+        let effects = vec![predecessor::Effect::Send(Message::Yours { held, learned, standing })];
         self.after_goes(effects, &[], &mut Vec::new());
     }
 
@@ -237,6 +241,7 @@
                 Effect::OpenStore => steps.push(Step::OpenStore),
                 Effect::Beside(held) => steps.push(Step::Beside(held)),
                 Effect::Learn(learned) => steps.push(Step::Learn(learned)),
+                Effect::Standing(standing) => steps.push(Step::Standing(standing)),
                 Effect::Close => *passage = None,
                 // The caller's: it takes another connection.
                 Effect::Visit => {}
@@ -418,7 +423,7 @@
         assert!(steps.iter().any(adopts), "the socket came");
         let steps = turn(&mut old, now, &listens);
         assert!(steps.iter().any(|step| matches!(step, Step::Yield)) && old.succeeded());
-        old.yielded(Held::default(), String::new());
+        old.yielded(Held::default(), String::new(), Vec::new());
         let steps = turn(&mut new, now, &[]);
         assert!(steps.iter().any(|step| matches!(step, Step::Serve)) && new.serves());
         drop(new);
--- a/crates/rig/src/machine.rs
+++ b/crates/rig/src/machine.rs
@@ -472,6 +472,7 @@
                 entry_kb: 0.2,
                 frame_field: Some(FIELD.to_owned()),
             }),
+            admission: None,
         }
     }
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod callers;
 pub mod directory;
+pub mod flood;
 pub mod host;
 pub mod keyed;
 pub mod matcher;
--- a/crates/upgrade/src/message.rs
+++ b/crates/upgrade/src/message.rs
@@ -1,13 +1,16 @@
 //! What the two processes say: one message a packet, as JSON.
 
 use serde::{Deserialize, Serialize};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 /// The version of this protocol. Another is told, and no socket is passed.
 pub const VERSION: u32 = 1;
 /// No message is longer, in bytes.
 pub const LONGEST: usize = 65_536;
 
+/// So many callers with earned standing fit into a message beside all else.
+pub const MOST_STANDING: usize = 700;
+
 /// What a process still has of the machine that both share.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct Held {
@@ -54,6 +57,8 @@
         held: Held,
         /// What its controller has learned, as the text of its snapshot; empty: nothing.
         learned: String,
+        /// Callers that have earned standing, with their points; [`MOST_STANDING`] at most.
+        standing: Vec<(IpAddr, f64)>,
     },
     /// Predecessor: it has let go of the store of results.
     StoreFree {},
@@ -106,6 +111,15 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn the_longest_message_fits() {
+        let address = "2001:db8:ffff:ffff:ffff:ffff:ffff:ffff".parse().expect("an address");
+        let standing = vec![(address, 1_234.567_890_123_456); MOST_STANDING];
+        let learned = "x".repeat(8_192);
+        let yours = Message::Yours { held: Held::default(), learned, standing };
+        assert!(yours.encode().len() <= LONGEST, "{}", yours.encode().len());
+    }
+
     #[test]
     fn messages_come_back_as_they_were_sent_and_nothing_else_is_read() {
         let held = Held { running: 3, memory_kb: 12.5, calls: 1, descriptors: 40 };
@@ -118,7 +132,7 @@
             Message::Offer { version: 1, listen: Vec::new() },
             Message::Refused { why: "busy".into() },
             Message::Take {},
-            Message::Yours { held, learned: String::new() },
+            Message::Yours { held, learned: String::new(), standing: vec![([10, 0, 0, 1].into(), 2.5)] },
             Message::StoreFree {},
             Message::Left(held),
         ];
--- a/crates/upgrade/src/successor.rs
+++ b/crates/upgrade/src/successor.rs
@@ -2,7 +2,7 @@
 
 use crate::message::{Held, Message, VERSION};
 use cleatpulley_policy::interface::Micros;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 /// A predecessor answers within this time, or is left to itself.
 pub const PATIENCE: Micros = 2_000_000;
@@ -28,6 +28,8 @@
     Beside(Held),
     /// What the predecessor had learned.
     Learn(String),
+    /// Callers that have earned standing there, with their points.
+    Standing(Vec<(IpAddr, f64)>),
     /// Connect to the predecessor once more.
     Visit,
     /// Close the connection to the predecessor.
@@ -96,9 +98,12 @@
                 self.state = State::Waiting { at: now + AGAIN };
                 vec![Effect::Close]
             }
-            (State::Asking { .. }, Message::Yours { held, learned }) => {
+            (State::Asking { .. }, Message::Yours { held, learned, standing }) => {
                 self.state = State::Serving;
                 let mut effects = vec![Effect::Beside(held), Effect::Serve];
+                if !standing.is_empty() {
+                    effects.insert(0, Effect::Standing(standing));
+                }
                 if !learned.is_empty() {
                     effects.insert(0, Effect::Learn(learned));
                 }
@@ -186,7 +191,7 @@
         assert_eq!(new.turn(2, true), [Effect::Send(Message::Take {})]);
         assert!(!new.serves());
         let held = Held { running: 4, ..Held::default() };
-        let yours = Message::Yours { held, learned: "x".into() };
+        let yours = Message::Yours { held, learned: "x".into(), standing: Vec::new() };
         assert_eq!(new.hear(3, yours, 0), [Effect::Learn("x".into()), Effect::Beside(held), Effect::Serve]);
         assert!(new.serves());
         assert_eq!(new.hear(4, Message::StoreFree {}, 0), [Effect::OpenStore]);
--- a/src/config.rs
+++ b/src/config.rs
@@ -117,6 +117,9 @@
             ajp: operator.ajp,
             store_speaks: operator.store,
             results: operator.results,
+            admission: operator
+                .admission
+                .map(|settings| cleatpulley_admission::Settings { seed: self.seed, ..settings }),
         }
     }
 
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -1,6 +1,7 @@
 //! The operator file: what the platform's configuration does not know. A Jsonnet file with a section for each
 //! subsystem, all off unless they are there; read in this one place.
 
+pub mod admission;
 pub mod fleet;
 pub mod gateway;
 mod results;
@@ -66,6 +67,8 @@
     pub store: store::Speaks,
     /// Kept results of keyed requests.
     pub results: Option<Results>,
+    /// Who gets a place.
+    pub admission: Option<cleatpulley_admission::Settings>,
 }
 
 #[derive(Deserialize, Default)]
@@ -74,6 +77,7 @@
     ajp: Option<AjpSection>,
     store: Option<StoreSection>,
     results: Option<results::ResultsSection>,
+    admission: Option<admission::AdmissionSection>,
     /// Read by [`fleet::Fleet::load`]: it concerns the daemon alone.
     #[serde(rename = "fleet")]
     _fleet: Option<serde::de::IgnoredAny>,
@@ -228,6 +232,7 @@
             ajp,
             store: file.store.map(StoreSection::check).transpose()?.unwrap_or_default(),
             results: file.results.map(|section| section.check(config, ajp_key)).transpose()?,
+            admission: file.admission.map(admission::AdmissionSection::check).transpose()?,
         };
         operator.covers(config).map_err(|what| ("results".to_owned(), what))?;
         Ok(operator)
@@ -541,6 +546,10 @@
             store::Speaks::Ajp(_) => "AJP",
         };
         write!(f, "store: called over {speaks}")?;
+        if let Some(settings) = &self.admission {
+            writeln!(f)?;
+            admission::show(settings, f)?;
+        }
         if let Some(results) = &self.results {
             writeln!(f)?;
             results::show(results, f)?;
--- /dev/null
+++ b/src/operator/admission.rs
@@ -0,0 +1,182 @@
+//! The section on who gets a place.
+
+use super::{wrong, Wrong};
+use cleatpulley_admission::admit::Cap;
+use cleatpulley_admission::net::Net;
+use cleatpulley_admission::rate::Rate;
+use cleatpulley_admission::standing::Earned;
+use cleatpulley_admission::Settings;
+use serde::Deserialize;
+use std::fmt;
+
+const SECOND: u64 = 1_000_000;
+/// Cells of each row of the counts of new connections: two megabytes each for addresses and prefixes.
+pub const WIDTH: usize = 65_536;
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct AdmissionSection {
+    #[serde(default)]
+    named: Vec<String>,
+    #[serde(default = "reserve")]
+    reserve: f64,
+    #[serde(default)]
+    address: CapSection,
+    #[serde(default)]
+    prefix: CapSection,
+    #[serde(default = "bits")]
+    prefix_bits: (u8, u8),
+    #[serde(default)]
+    earned: Option<EarnedSection>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(deny_unknown_fields, default)]
+struct CapSection {
+    places: Option<usize>,
+    per_second: Option<f64>,
+    burst: Option<f64>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct EarnedSection {
+    #[serde(default = "points")]
+    points: f64,
+    #[serde(default = "half_life")]
+    half_life_s: u64,
+    #[serde(default = "most")]
+    most: usize,
+    #[serde(default = "of_prefix")]
+    of_prefix: usize,
+}
+
+fn reserve() -> f64 {
+    0.2
+}
+
+fn bits() -> (u8, u8) {
+    (24, 64)
+}
+
+fn points() -> f64 {
+    100.0
+}
+
+fn half_life() -> u64 {
+    3_600
+}
+
+fn most() -> usize {
+    10_000
+}
+
+fn of_prefix() -> usize {
+    8
+}
+
+impl CapSection {
+    fn check(self, name: &str) -> Result<Cap, Wrong> {
+        if self.places == Some(0) {
+            return wrong(format!("admission.{name}.places"), "0 lets nobody in; leave it out for no cap");
+        }
+        let rate = match (self.per_second, self.burst) {
+            (None, None) => None,
+            (None, Some(_)) => {
+                return wrong(format!("admission.{name}.per_second"), "a burst needs it");
+            }
+            (Some(per_second), burst) => {
+                if !(per_second > 0.0 && per_second <= 1e6) {
+                    let what = format!("{per_second} is not above 0 and up to 1000000");
+                    return wrong(format!("admission.{name}.per_second"), what);
+                }
+                let burst = burst.unwrap_or_else(|| per_second.max(1.0));
+                if !(1.0..=1e6).contains(&burst) {
+                    let what = format!("{burst} is not within 1 to 1000000");
+                    return wrong(format!("admission.{name}.burst"), what);
+                }
+                Some(Rate { per_second, burst })
+            }
+        };
+        Ok(Cap { places: self.places, rate })
+    }
+}
+
+impl AdmissionSection {
+    pub(super) fn check(self) -> Result<Settings, Wrong> {
+        let mut named = Vec::new();
+        for (i, text) in self.named.iter().enumerate() {
+            match text.parse::<Net>() {
+                Ok(net) => named.push(net),
+                Err(what) => return wrong(format!("admission.named[{i}]"), what),
+            }
+        }
+        if !(0.0..=0.9).contains(&self.reserve) {
+            return wrong("admission.reserve", format!("{} is not within 0 to 0.9", self.reserve));
+        }
+        let (four, six) = self.prefix_bits;
+        if !(8..=32).contains(&four) || !(16..=128).contains(&six) {
+            let what = format!("{four} and {six} are not within 8 to 32 and 16 to 128");
+            return wrong("admission.prefix_bits", what);
+        }
+        let earned = match self.earned {
+            None => None,
+            Some(earned) => {
+                if !(1.0..=1e6).contains(&earned.points) {
+                    let what = format!("{} is not within 1 to 1000000", earned.points);
+                    return wrong("admission.earned.points", what);
+                }
+                let within = |key: &str, value: usize, most: usize| match value {
+                    _ if (1..=most).contains(&value) => Ok(value),
+                    _ => {
+                        wrong(format!("admission.earned.{key}"), format!("{value} is not within 1 to {most}"))
+                    }
+                };
+                let half_life = within("half_life_s", earned.half_life_s as usize, 31_536_000)?;
+                Some(Earned {
+                    points: earned.points,
+                    half_life: half_life as u64 * SECOND,
+                    most: within("most", earned.most, 1_000_000)?,
+                    of_prefix: within("of_prefix", earned.of_prefix, 1_000_000)?,
+                })
+            }
+        };
+        Ok(Settings {
+            named,
+            reserve: self.reserve,
+            address: self.address.check("address")?,
+            prefix: self.prefix.check("prefix")?,
+            bits: self.prefix_bits,
+            earned,
+            width: WIDTH,
+            seed: 0,
+        })
+    }
+}
+
+pub(super) fn show(settings: &Settings, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    let cap = |cap: &Cap| {
+        let places =
+            cap.places.map_or("any number of places".to_owned(), |places| format!("{places} places"));
+        let rate = cap.rate.map_or("any rate".to_owned(), |rate| {
+            format!("{} new a second and {} at once", rate.per_second, rate.burst)
+        });
+        format!("{places}, {rate}")
+    };
+    let (four, six) = settings.bits;
+    write!(
+        f,
+        "admission: {} nets named, {:.0}% of the places kept for known callers; an address: {}; a prefix (/{four}, /{six}): {}; {}",
+        settings.named.len(),
+        settings.reserve * 100.0,
+        cap(&settings.address),
+        cap(&settings.prefix),
+        settings.earned.map_or("standing is not earned".to_owned(), |earned| format!(
+            "known from {} points on, half of which fades in {} s, {} addresses at most, {} of a prefix",
+            earned.points,
+            earned.half_life / SECOND,
+            earned.most,
+            earned.of_prefix
+        )),
+    )
+}
--- a/src/tools/bench.rs
+++ b/src/tools/bench.rs
@@ -23,6 +23,8 @@
 pub enum Check {
     /// The AJP front: codec, CPU a request beside frames, memory a connection, a mixed load
     Ajp,
+    /// Connection admission: what a decision costs at a million addresses, and who is served in a flood
+    Admission,
     /// A fleet: trials of the plan, the planner beside fixed batches, a replacement under load, the daemon's own figures
     Fleet {
         /// Replacements at 70, 90 and 100% load
@@ -50,6 +52,7 @@
         Check::Fleet { long } => ("fleet", super::bench_fleet::run(&program, *long)),
         Check::Seeds => ("seeds", super::bench_seeds::run()?),
         Check::Service => ("service", super::bench_service::run(&program)?),
+        Check::Admission => ("admission", super::bench_admission::run(&program)?),
         Check::Routes => ("routes", super::bench_routes::run(&program)?),
         Check::Results => ("results", super::bench_results::run(&program)?),
     };
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -168,3 +168,25 @@
         assert!(!name.is_empty() && rest.starts_with(expected), "{fault}");
     }
 }
+
+#[test]
+fn faults_of_the_section_on_admission_name_their_keys() {
+    for (section, fault) in [
+        ("named: ['10.0.0.1/8']", "admission.named[0]: \"10.0.0.1/8\" has bits beyond its prefix"),
+        ("named: ['a', 'b']", "admission.named[0]: \"a\" is no address"),
+        ("reserve: 0.95", "admission.reserve: 0.95 is not within 0 to 0.9"),
+        ("address: { places: 0 }", "admission.address.places: 0 lets nobody in"),
+        ("address: { burst: 5 }", "admission.address.per_second: a burst needs it"),
+        ("prefix: { per_second: 0 }", "admission.prefix.per_second: 0 is not above 0"),
+        ("prefix: { per_second: 5, burst: 0 }", "admission.prefix.burst: 0 is not within 1"),
+        ("prefix_bits: [4, 64]", "admission.prefix_bits: 4 and 64 are not within"),
+        ("earned: { points: 0 }", "admission.earned.points: 0 is not within"),
+        ("earned: { most: 0 }", "admission.earned.most: 0 is not within"),
+        ("reserves: 0.1", "unknown field `reserves`"),
+    ] {
+        let told = load("admission.jsonnet", &format!("{{ admission: {{ {section} }} }}"))
+            .map(drop)
+            .expect_err(section);
+        assert!(told.contains(fault), "{section}: {told}");
+    }
+}
