Refuse an address that a stranger holds, and let successors find a starved process again

With a shared folder every listening socket shares its address, so that a second process of another name would have taken half of the new connections unseen. It is now told and ends with 1; listening beside another stays for where it can't be told who serves. A process that had no descriptor to be found by tries again each half second.

--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -638,6 +638,10 @@
         type Post = ();
         type Passage = Nobody;
 
+        fn is_taken(&self, _: SocketAddr) -> bool {
+            false
+        }
+
         fn adopt(&self, (): (), _: SocketAddr, _: usize) -> io::Result<()> {
             Ok(())
         }
--- a/crates/matcher/src/lib.rs
+++ b/crates/matcher/src/lib.rs
@@ -237,6 +237,12 @@
                 front.expect(address, speaks);
                 continue;
             }
+            // Guards against a stranger on the address, which it would else be shared with: a process whose place could be taken
+            // would have been met.
+            if upgrade.as_ref().is_some_and(|upgrade| !upgrade.is_unmet()) && world.is_taken(address) {
+                let what = format!("listen: {address}: somebody listens there, and passes nothing on");
+                return Err(io::Error::new(io::ErrorKind::AddrInUse, what));
+            }
             let listened = front.listen(address, speaks);
             let address =
                 listened.map_err(|e| io::Error::new(e.kind(), format!("listen: {address}: {e}")))?;
--- a/crates/matcher/src/real.rs
+++ b/crates/matcher/src/real.rs
@@ -289,6 +289,16 @@
         Ok((self.watch_listener(socket, place)?, address))
     }
 
+    fn is_taken(&self, address: SocketAddr) -> bool {
+        let alone = || -> io::Result<()> {
+            let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+            socket.set_reuse_address(true)?;
+            socket.bind(&address.into())
+        };
+        let shares = self.shares_addresses && address.port() != 0;
+        shares && alone().is_err_and(|e| e.kind() == ErrorKind::AddrInUse)
+    }
+
     fn adopt(&self, passed: Passed, address: SocketAddr, place: usize) -> io::Result<Listener> {
         self.watch_listener(passed.listener(address)?, place)
     }
--- a/crates/matcher/src/upgrade.rs
+++ b/crates/matcher/src/upgrade.rs
@@ -16,6 +16,8 @@
 
 /// Wait after the system had no descriptor for a successor.
 const LET_IN: Micros = 20_000;
+/// Wait before successors are let find this process once more.
+const POST_AGAIN: Micros = 500_000;
 
 type Passed<W> = <<W as World>::Passage as Passage>::Passed;
 
@@ -55,6 +57,10 @@
     /// What came along with the message that is being heard.
     passed: Vec<Passed<W>>,
     after: (Predecessor, Option<W::Passage>),
+    /// Whether a process serves can't be told.
+    unmet: bool,
+    /// Successors could not be let find this process; that is tried again then.
+    post_at: Option<Micros>,
 }
 
 impl<W: World> Upgrade<W> {
@@ -72,6 +78,8 @@
             before: None,
             passed: Vec::new(),
             after,
+            unmet: false,
+            post_at: None,
         };
         // Where the system chooses the port, nobody can be there.
         if new.meeting.address.port() != 0 {
@@ -88,7 +96,10 @@
                     let _ = new.before_does(effects, &mut Vec::new());
                 }
                 Err(e) if matches!(e.kind(), ErrorKind::NotFound | ErrorKind::ConnectionRefused) => {}
-                Err(e) => tracing::warn!("upgrade: the process that serves can't be met: {e}"),
+                Err(e) => {
+                    tracing::warn!("upgrade: the process that serves can't be met: {e}");
+                    new.unmet = true;
+                }
             }
         }
         new
@@ -100,6 +111,12 @@
         self.before.as_ref().is_none_or(|(decides, _)| decides.serves()) && !self.after.0.yielded()
     }
 
+    /// Whether a process serves could not be told: it may be listened beside one.
+    #[must_use]
+    pub fn is_unmet(&self) -> bool {
+        self.unmet
+    }
+
     /// A successor takes the clients.
     #[must_use]
     pub fn succeeded(&self) -> bool {
@@ -128,7 +145,10 @@
         self.post = None;
         match self.world.post(&self.meeting, PLACE) {
             Ok(post) => (self.post, self.knocked) = (Some(post), true),
-            Err(e) => tracing::warn!("upgrade: no successor can be met: {e}"),
+            Err(e) => {
+                tracing::warn!("upgrade: no successor can be met yet: {e}");
+                self.post_at = Some(self.world.now() + POST_AGAIN);
+            }
         }
     }
 
@@ -146,6 +166,10 @@
         held: impl Fn() -> Held,
         steps: &mut Vec<Step<W>>,
     ) {
+        if self.post_at.is_some_and(|at| now >= at) {
+            self.post_at = None;
+            self.post(self.meeting.address);
+        }
         self.hear_before(now, steps);
         if let Some((decides, _)) = &mut self.before {
             let effects = decides.turn(now, up);
@@ -175,7 +199,7 @@
     pub fn next(&self) -> Option<Micros> {
         let before = self.before.as_ref().and_then(|(decides, _)| decides.next());
         let let_in = (self.knocked && self.let_in_at > 0).then_some(self.let_in_at);
-        [before, self.after.0.next(), let_in].into_iter().flatten().min()
+        [before, self.after.0.next(), let_in, self.post_at].into_iter().flatten().min()
     }
 
     fn hear_before(&mut self, now: Micros, steps: &mut Vec<Step<W>>) {
--- a/crates/matcher/src/world.rs
+++ b/crates/matcher/src/world.rs
@@ -112,6 +112,9 @@
     /// Those of the system.
     fn listen(&self, address: SocketAddr, place: usize) -> io::Result<(Self::Listener, SocketAddr)>;
 
+    /// Somebody listens there already, where [`listen`](Self::listen) would share the address with it.
+    fn is_taken(&self, address: SocketAddr) -> bool;
+
     /// Accepts a connection that waits, and says whose it is.
     ///
     /// # Errors
--- a/crates/rig/src/host.rs
+++ b/crates/rig/src/host.rs
@@ -292,6 +292,10 @@
     type Post = VirtualPost;
     type Passage = VirtualPassage;
 
+    fn is_taken(&self, address: SocketAddr) -> bool {
+        self.net.borrow().listeners(address) > 0
+    }
+
     fn adopt(&self, passed: VirtualPassed, address: SocketAddr, _: usize) -> io::Result<VirtualListener> {
         passed.take_up(address, self.process)
     }
--- a/crates/rig/src/machine.rs
+++ b/crates/rig/src/machine.rs
@@ -213,6 +213,11 @@
                 self.turn_soon(m, life);
                 self.note(|| format!("m{m} starts, life {life}"));
             }
+            // One that found no way to be met ends, and the one that serves goes on.
+            Err(e) if beside && e.kind() == std::io::ErrorKind::AddrInUse => {
+                self.listeners.remove(&mgmt);
+                self.meet("a new process that met nobody ends");
+            }
             Err(e) => self.broken.push(format!("m{m} can't start: {e}")),
         }
     }
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -182,3 +182,16 @@
     let report = going.judge();
     assert_eq!(report.broken, Vec::<String>::new(), "{report}");
 }
+
+/// Guards against an address that is shared by mistake: a process that can't take another's place does not listen beside it.
+#[test]
+fn a_stranger_on_the_address_is_a_fault() {
+    let site = Site::start(Setup { processes: 2, ..Setup::default() }).expect("a site");
+    let matcher = Matcher::start(&program(), &site.config, None).expect("it starts");
+    let mut config = site.config.clone();
+    config["name"] = "n2".into();
+    let mut stranger = matcher.begin_successor(&program(), &config).expect("it starts");
+    assert!(!stranger.wait(Duration::from_secs(10)).expect("it ends").success());
+    assert!(stranger.wait_for("somebody listens there").is_ok(), "{}", stranger.log().join("\n"));
+    assert_eq!(matcher.ask("/_ready").expect("an answer").0, 200);
+}
