Add crates/tls: sessions over rustls as state machines, pairs, tickets, an authority

The first record is read before any session is made (hello.rs), so a handshake's place can be decided on its offer: a ticket or a key to resume, and the name it asks for.

Certificates are judged by a Clock that the matcher sets, so the emulator can play them and a clock that steps back over a certificate's start refuses it until it is there again. Ticket keys derive from a shared secret and the period's number, so instances on one host and a process that takes another's place resume each other's sessions without talking, and rotate by themselves.

crates/admission/handshake.rs decides which handshakes run: a rate and places at a time, a quarter of both kept for known callers and resumptions, a bounded queue in which the last stranger makes room, and one deadline from the accept.

Not wired into the front yet.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -4,12 +4,14 @@
 //! - [`rate`]: how many connections a second an address and its prefix open, in memory of a fixed size.
 //! - [`standing`]: who has earned to be known, by whole requests answered over time.
 //! - [`admit`]: who gets a place, and whose it was.
+//! - [`handshake`]: which TLS handshakes run, and when.
 //! - [`net`]: addresses, prefixes and what an operator names.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 pub mod admit;
+pub mod handshake;
 pub mod net;
 pub mod rate;
 pub mod standing;
--- /dev/null
+++ b/crates/tls/src/authority.rs
@@ -0,0 +1,85 @@
+//! An authority for a fleet on one host, and the certificates it issues: what `cleatpulley certs` makes. Keys are ECDSA
+//! P-256; times are given by the caller, in Unix seconds. Files are the caller's to write: a private key only ever leaves
+//! here as PEM to be written with mode 0600.
+
+use rcgen::{
+    BasicConstraints, CertificateParams, DnType, ExtendedKeyUsagePurpose, IsCa, Issuer, KeyPair,
+    KeyUsagePurpose,
+};
+use time::OffsetDateTime;
+
+/// What can go wrong in making a certificate.
+#[derive(Debug, thiserror::Error)]
+pub enum Fault {
+    /// A name that can't stand in a certificate, or a time out of range.
+    #[error("{0}")]
+    Input(String),
+    /// What the library said.
+    #[error("{0}")]
+    Made(#[from] rcgen::Error),
+}
+
+/// A certificate and its private key, both as PEM.
+pub struct Made {
+    /// The certificate.
+    pub certificate: String,
+    /// The private key: to be written 0600, never printed.
+    pub key: String,
+}
+
+fn at(seconds: i64) -> Result<OffsetDateTime, Fault> {
+    OffsetDateTime::from_unix_timestamp(seconds).map_err(|e| Fault::Input(format!("time {seconds}: {e}")))
+}
+
+/// A new authority of this name, valid from `now` for so many days.
+///
+/// # Errors
+/// Where the name or the times can't stand in a certificate.
+pub fn init(name: &str, now: i64, days: i64) -> Result<Made, Fault> {
+    let key = KeyPair::generate()?;
+    let mut params = CertificateParams::new(Vec::<String>::new())?;
+    params.distinguished_name.push(DnType::CommonName, name);
+    params.is_ca = IsCa::Ca(BasicConstraints::Constrained(0));
+    params.key_usages =
+        vec![KeyUsagePurpose::KeyCertSign, KeyUsagePurpose::CrlSign, KeyUsagePurpose::DigitalSignature];
+    // A minute back: a clock of another process a little behind still takes it.
+    params.not_before = at(now - 60)?;
+    params.not_after = at(now + days * 86_400)?;
+    let certificate = params.self_signed(&key)?;
+    Ok(Made { certificate: certificate.pem(), key: key.serialize_pem() })
+}
+
+/// A certificate for these names (hosts or addresses; the first is its common name) that servers and clients may both
+/// show, signed by the authority. Where `key` is given, it is kept (a renewal); otherwise a new one is made.
+///
+/// # Errors
+/// Where a name can't stand in a certificate, a key or the authority can't be read, or the times are out of range.
+pub fn issue(
+    authority: (&str, &str),
+    names: &[String],
+    key: Option<&str>,
+    now: i64,
+    days: i64,
+) -> Result<Made, Fault> {
+    let Some(first) = names.first() else {
+        return Err(Fault::Input("a certificate needs a name".to_owned()));
+    };
+    let (authority_pem, authority_key) = authority;
+    let authority_key = KeyPair::from_pem(authority_key)?;
+    let issuer = Issuer::from_ca_cert_pem(authority_pem, authority_key)?;
+    let key = match key {
+        Some(pem) => KeyPair::from_pem(pem)?,
+        None => KeyPair::generate()?,
+    };
+    let mut params = CertificateParams::new(names.to_vec())?;
+    params.distinguished_name.push(DnType::CommonName, first.as_str());
+    params.is_ca = IsCa::ExplicitNoCa;
+    params.key_usages = vec![KeyUsagePurpose::DigitalSignature];
+    params.extended_key_usages =
+        vec![ExtendedKeyUsagePurpose::ServerAuth, ExtendedKeyUsagePurpose::ClientAuth];
+    params.not_before = at(now - 60)?;
+    params.not_after = at(now + days * 86_400)?;
+    params.use_authority_key_identifier_extension = true;
+    let certificate = params.signed_by(&key, &issuer)?;
+    Ok(Made { certificate: certificate.pem(), key: key.serialize_pem() })
+}
