Know callers by their certificate's names: named ones keep their place, others are capped

The change: crates/admission/identity.rs counts places by the first name of a verified client certificate and new connections a second of it in a small leaking sketch; a name in `tls.identities.named` is taken for named, and Admission::promote moves its place among the named, so it is neither pushed out for an unknown caller nor counted in its prefix. A connection whose name is over its cap is told to part (frames: type 9), and what it asks, also what came with the end of its handshake or crosses the word to part, is turned away with `later` 1 s; nothing of it runs.

Tests: the sketch's caps and a named name without them; on a real process one place for fe-2 (its second connection refused and closed, its first freed again on its close) while five of fe-1 are served. A first version of the test read the word to part and took the refusal behind it for silence; the frames machine takes requests for 1 s after that word, which is why the front turns them away itself.

--- a/crates/admission/src/admit.rs
+++ b/crates/admission/src/admit.rs
@@ -351,6 +351,19 @@
         }
     }
 
+    /// A connection's caller has shown who it is: it is known as named from now on, and its place is kept like theirs.
+    pub fn promote(&mut self, number: u64) {
+        let Some(place) = self.places.get(&number).copied() else { return };
+        if place.known == Known::Named {
+            return;
+        }
+        self.leave(number);
+        self.enter(place.since, number, place.address, Known::Named);
+        if place.spoken {
+            self.spoke(number);
+        }
+    }
+
     /// A connection has left its place.
     pub fn leave(&mut self, number: u64) {
         let Some(place) = self.places.remove(&number) else { return };
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`standing`]: who has earned to be known, by whole requests answered over time.
 //! - [`admit`]: who gets a place, and whose it was.
 //! - [`handshake`]: which TLS handshakes run, and when.
+//! - [`identity`]: callers known by a certificate's names, and their caps.
 //! - [`net`]: addresses, prefixes and what an operator names.
 
 #![forbid(unsafe_code)]
@@ -12,6 +13,7 @@
 
 pub mod admit;
 pub mod handshake;
+pub mod identity;
 pub mod net;
 pub mod rate;
 pub mod standing;
--- a/crates/matcher/src/front.rs
+++ b/crates/matcher/src/front.rs
@@ -9,6 +9,7 @@
 use super::Party;
 use cleatpulley_admission::admit::Known;
 use cleatpulley_admission::handshake::Handshakes;
+use cleatpulley_admission::identity::Identities;
 use cleatpulley_admission::{Admission, Decision};
 use cleatpulley_exchange::{Answer, Arrival, Fact, Origin};
 use cleatpulley_policy::interface::Micros;
@@ -108,6 +109,8 @@
     known: Known,
     /// The names of the certificate it showed, where it spoke TLS.
     names: Vec<String>,
+    /// Its name is over its cap: whatever it asks for is turned away, and it is told to part.
+    over: bool,
 }
 
 /// A listening socket.
@@ -151,6 +154,7 @@
     /// TLS, where some doors speak it, and which handshakes run.
     tls: Option<Rc<RefCell<Tls>>>,
     handshakes: Option<Handshakes>,
+    identities: Option<Identities>,
 }
 
 impl<W: World> Front<W> {
@@ -179,6 +183,7 @@
             admission: None,
             tls: None,
             handshakes: None,
+            identities: None,
         }
     }
 
@@ -186,6 +191,8 @@
     pub fn set_tls(&mut self, now: Micros, tls: Rc<RefCell<Tls>>) {
         let settings = tls.borrow().options().handshakes;
         self.handshakes = settings.map(|settings| Handshakes::new(settings, now));
+        let identities = tls.borrow().options().identities.clone();
+        self.identities = identities.map(|settings| Identities::new(settings, now));
         for door in &mut self.doors {
             door.secure = tls.borrow().speaks(&door.speaks);
         }
@@ -492,6 +499,9 @@
             if let Some(handshakes) = &mut self.handshakes {
                 handshakes.done(number);
             }
+            if let Some(identities) = &mut self.identities {
+                identities.leave(number);
+            }
             self.doors.iter_mut().for_each(|door| door.acceptable = true);
         }
     }
@@ -600,7 +610,8 @@
             if self.parting {
                 machine.part(&context, conn.output());
             }
-            self.peers.insert(number, Peer { conn, machine, lingers: None, known, names: Vec::new() });
+            let names = Vec::new();
+            self.peers.insert(number, Peer { conn, machine, lingers: None, known, names, over: false });
         }
     }
 
--- a/crates/matcher/src/front/tls.rs
+++ b/crates/matcher/src/front/tls.rs
@@ -4,9 +4,14 @@
 use super::{Front, Speaks};
 use crate::secure::{Layer, Tls};
 use crate::world::World;
+use cleatpulley_admission::admit::Known;
 use cleatpulley_admission::handshake::{Offer, Turn};
-use cleatpulley_exchange::Fact;
+use cleatpulley_exchange::{Answer, Fact};
 use cleatpulley_policy::interface::Micros;
+use cleatpulley_protocol::machine::Context;
+
+/// A caller whose name is over its cap is told to come back after this long.
+const AGAIN_LATER: Micros = 1_000_000;
 
 impl Tls {
     /// Whether a door of this kind speaks TLS.
@@ -45,12 +50,39 @@
             }
         }
         let Some(peer) = self.peers.get_mut(&number) else { return };
+        let mut over = None;
         if peer.conn.layer_mut().is_some_and(Layer::established) {
             if let Some(handshakes) = &mut self.handshakes {
                 handshakes.done(number);
             }
             peer.names =
                 peer.conn.layer().and_then(Layer::session).map(|s| s.peer_names()).unwrap_or_default();
+            match self.identities.as_mut().map(|identities| identities.identify(now, number, &peer.names)) {
+                Some(Ok(true)) => {
+                    peer.known = Known::Named;
+                    if let Some(admission) = &mut self.admission {
+                        admission.promote(number);
+                    }
+                }
+                Some(Err(why)) => over = Some(why),
+                Some(Ok(false)) | None => {}
+            }
+        }
+        let context =
+            Context { now, number, classes: &self.classes, good: self.good, feedback: self.feedback };
+        if let Some(why) = over {
+            tracing::debug!("front end connection {number}: its name is over its cap: {why:?}");
+            peer.over = true;
+            peer.machine.part(&context, peer.conn.output());
+        }
+        if peer.over {
+            // Nothing it asks for runs: each is told so, also what crosses the word to part.
+            let refused = Answer::Refused { later: AGAIN_LATER, last: false };
+            for arrival in self.arrivals.drain(..) {
+                peer.machine.answer(&context, arrival.origin.stream, &refused, peer.conn.output());
+            }
+            self.noted.push(number);
+            return;
         }
         let tls = self.tls.as_ref().map(|tls| tls.borrow());
         for arrival in self.arrivals.drain(..) {
--- a/crates/matcher/src/secure.rs
+++ b/crates/matcher/src/secure.rs
@@ -218,6 +218,8 @@
     pub permits: Vec<Option<Vec<String>>>,
     /// Which handshakes run, and when; without it each begins at once.
     pub handshakes: Option<cleatpulley_admission::handshake::Settings>,
+    /// Callers known by their certificate's names, and caps by name.
+    pub identities: Option<cleatpulley_admission::identity::Settings>,
     /// An expiry within so long is warned of.
     pub warn_before: Micros,
     /// The clock that certificates are judged by; the matcher sets it.
--- a/crates/standin/src/callers.rs
+++ b/crates/standin/src/callers.rs
@@ -479,6 +479,7 @@
 }
 
 /// What an answer says.
+#[derive(Debug)]
 pub enum Said {
     /// Served with this.
     Served(Vec<u8>),
--- a/src/operator/tls.rs
+++ b/src/operator/tls.rs
@@ -34,6 +34,8 @@
     permits: std::collections::BTreeMap<String, Vec<String>>,
     #[serde(default)]
     handshakes: Option<HandshakesSection>,
+    #[serde(default)]
+    identities: Option<IdentitiesSection>,
     #[serde(default = "warn_days")]
     warn_days: u64,
 }
@@ -73,6 +75,46 @@
     waiting: Option<usize>,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct IdentitiesSection {
+    #[serde(default)]
+    named: Vec<String>,
+    #[serde(default)]
+    places: Option<usize>,
+    #[serde(default)]
+    per_second: Option<f64>,
+    #[serde(default)]
+    burst: Option<f64>,
+}
+
+impl IdentitiesSection {
+    fn check(self) -> Result<cleatpulley_admission::identity::Settings, Wrong> {
+        if self.places == Some(0) {
+            return wrong("tls.identities.places", "0 lets nobody in; leave it out for no cap");
+        }
+        let rate = match (self.per_second, self.burst) {
+            (None, None) => None,
+            (None, Some(_)) => return wrong("tls.identities.per_second", "a burst needs it"),
+            (Some(per_second), burst) => {
+                if !(per_second > 0.0 && per_second <= 1e6) {
+                    return wrong(
+                        "tls.identities.per_second",
+                        format!("{per_second} is not above 0 and up to 1000000"),
+                    );
+                }
+                let burst = burst.unwrap_or_else(|| per_second.max(1.0));
+                if !(1.0..=1e6).contains(&burst) {
+                    return wrong("tls.identities.burst", format!("{burst} is not within 1 to 1000000"));
+                }
+                Some(cleatpulley_admission::rate::Rate { per_second, burst })
+            }
+        };
+        let named = self.named.iter().map(|name| name.to_ascii_lowercase()).collect();
+        Ok(cleatpulley_admission::identity::Settings { named, places: self.places, rate })
+    }
+}
+
 fn on() -> Vec<String> {
     vec!["frames".to_owned()]
 }
@@ -239,6 +281,10 @@
         // A pair that is faulty at the start is told at once, with its key and file.
         files.load().map_err(|what| (files.key_of(&what).to_owned(), what))?;
         let handshakes = self.handshakes.map(HandshakesSection::check).transpose()?;
+        if self.identities.is_some() && files.roots.is_none() {
+            return wrong("tls.identities", "names of clients need tls.clients: nobody would show one");
+        }
+        let identities = self.identities.map(IdentitiesSection::check).transpose()?;
         if !(1..=365).contains(&self.warn_days) {
             return wrong("tls.warn_days", format!("{} is not within 1 to 365", self.warn_days));
         }
@@ -249,6 +295,7 @@
             mgmt,
             permits,
             handshakes,
+            identities,
             warn_before: self.warn_days * DAY_US,
             clock,
         })
@@ -277,6 +324,13 @@
             write!(f, "; {class} only for {}", permit.join(", "))?;
         }
     }
+    if let Some(identities) = &tls.identities {
+        let places =
+            identities.places.map_or("any number of places".to_owned(), |most| format!("{most} places"));
+        let rate =
+            identities.rate.map_or("any rate".to_owned(), |rate| format!("{} new a second", rate.per_second));
+        write!(f, "; a certificate's name: {places}, {rate}, {} named", identities.named.len())?;
+    }
     match &tls.handshakes {
         None => write!(f, "; each handshake begins at once"),
         Some(h) => write!(
--- a/tests/tls.rs
+++ b/tests/tls.rs
@@ -238,3 +238,36 @@
     assert!(of("full") <= 10 + served as u64 + 3 * 38 + 5, "{figures}");
     assert!(of("overdue") + of("refused") >= 100, "{figures}");
 }
+
+#[test]
+fn a_name_over_its_places_is_refused_and_a_named_one_is_not() {
+    let files = Files::new();
+    let (_site, matcher) = start(&files, "identities: { named: ['fe-1'], places: 1 }");
+    let mut first = connect(&files, matcher.frames, Some("fe-2")).expect("a handshake");
+    assert!(matches!(ask(&mut first, "lobby-view", 1), Some(Said::Served(_))));
+    let mut second = connect(&files, matcher.frames, Some("fe-2")).expect("a handshake");
+    // Told to send nothing more on it (type 9), and what it asks is turned away, also what came with the end of its
+    // handshake; then it is closed.
+    let said = ask(&mut second, "lobby-view", 2);
+    let mut rest = Vec::new();
+    let ended = second.read_to_end(&mut rest).is_ok();
+    let (mut at, mut served) = (0, false);
+    while let Some(head) = rest.get(at..at + 10) {
+        let length = u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize;
+        served |= head[4] == 1 && head[9] == 0;
+        at += 4 + length;
+    }
+    assert!(
+        matches!(said, None | Some(Said::Refused(1_000))) && ended && !served,
+        "one place for fe-2: {said:?} {rest:?}"
+    );
+    let mut named: Vec<_> =
+        (0..5).map(|_| connect(&files, matcher.frames, Some("fe-1")).expect("a handshake")).collect();
+    for (n, tls) in named.iter_mut().enumerate() {
+        assert!(matches!(ask(tls, "lobby-view", 3 + n as u64), Some(Said::Served(_))));
+    }
+    drop(first);
+    std::thread::sleep(Duration::from_millis(100));
+    let mut again = connect(&files, matcher.frames, Some("fe-2")).expect("a handshake");
+    assert!(matches!(ask(&mut again, "lobby-view", 9), Some(Said::Served(_))), "its place is free again");
+}
