Let a gateway speak TLS to its targets, showing a certificate of its own

The change: a link's Conn takes the client's side of the same layer (Layer::client over a crates/tls session), named by `targets.tls.server_name` or the host of the target's name; `gateway.targets.tls` gives roots and, where set, the gateway's certificate and key. What the gateway asks of a link, whether a request may have reached its target, stays in plain bytes: Conn::flush, over TLS, counts the plain bytes whose sealed records the system took whole. A loop of Conn's sending now runs on what is sealed only, so that plain bytes waiting for a session can't make it write nothing again and again.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -70,6 +70,8 @@
     pub stop: Micros,
     /// That time.
     pub grace: Micros,
+    /// TLS to the targets, where it is spoken.
+    pub tls: Option<upstream::Links>,
 }
 
 /// Reads its options again, for the routes and addresses in them.
@@ -119,8 +121,12 @@
         }
         front.set_idle(30_000_000);
         let core = Core::new(&options.settings).map_err(io::Error::other)?;
-        let Options { speaks, names, addresses, connections, .. } = options;
-        let upstream = upstream::Upstream::new(world.clone(), speaks, names, classes, addresses, connections);
+        let Options { speaks, names, addresses, connections, tls, .. } = options;
+        let mut upstream =
+            upstream::Upstream::new(world.clone(), speaks, names, classes, addresses, connections);
+        if let Some(links) = tls {
+            upstream.set_tls(links);
+        }
         Ok(Self {
             world,
             front,
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -3,6 +3,7 @@
 use super::core::{Number, Reply};
 use cleatpulley_exchange::{Answer, Arrival, Head};
 use cleatpulley_matcher::conn::Conn;
+use cleatpulley_matcher::secure::Layer;
 use cleatpulley_matcher::world::{Readiness, World};
 use cleatpulley_matcher::Party;
 use cleatpulley_policy::interface::Micros;
@@ -10,6 +11,7 @@
 use cleatpulley_protocol::ajp::server::{FEEDBACK, NO_RETRY, RETRY_AFTER_MS};
 use cleatpulley_protocol::frame::codec::{self, Parsed};
 use cleatpulley_routes::retry::Try;
+use cleatpulley_tls::session::Session;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -105,6 +107,30 @@
     failing: BTreeSet<Arc<str>>,
     /// The connection that a request is on.
     at: HashMap<Number, (u64, u32)>,
+    /// TLS to the targets, where it is spoken.
+    tls: Option<Links>,
+}
+
+/// TLS on the links to targets: what they share, the name that their certificates are to hold where it is not the
+/// target's own host, and the clock that certificates are judged by.
+#[derive(Clone, Debug)]
+pub struct Links {
+    /// What the sessions share.
+    pub config: std::sync::Arc<cleatpulley_tls::rustls::ClientConfig>,
+    /// The name asked for of every target; none: the host of the target's name.
+    pub server_name: Option<String>,
+    /// The clock, which the gateway sets.
+    pub clock: cleatpulley_tls::Clock,
+}
+
+/// The host of a target's name, without its port.
+fn host(to: &str) -> &str {
+    match to.rsplit_once(':') {
+        Some((host, port)) if port.bytes().all(|b| b.is_ascii_digit()) => {
+            host.trim_start_matches('[').trim_end_matches(']')
+        }
+        _ => to,
+    }
 }
 
 impl<W: World> Upstream<W> {
@@ -132,9 +158,15 @@
             next: 1,
             noted,
             at,
+            tls: None,
         }
     }
 
+    /// Speaks TLS to the targets from now on.
+    pub fn set_tls(&mut self, links: Links) {
+        self.tls = Some(links);
+    }
+
     /// Where targets' addresses lead from now on; connections that stand go on.
     pub fn set_addresses(&mut self, addresses: HashMap<Arc<str>, SocketAddr>) {
         self.addresses = addresses;
@@ -229,7 +261,15 @@
                 Kind::Ajp { client: Box::new(Client::new(options.clone(), now)), asked: None }
             }
         };
-        match Conn::connect(&self.world, address, Party::Target(number)) {
+        let secured = |mut conn: Conn<W>| -> std::io::Result<Conn<W>> {
+            if let Some(links) = &self.tls {
+                let name = links.server_name.as_deref().unwrap_or_else(|| host(to));
+                let session = Session::connect(std::sync::Arc::clone(&links.config), name);
+                conn.secure(Layer::client(session.map_err(std::io::Error::other)?));
+            }
+            Ok(conn)
+        };
+        match Conn::connect(&self.world, address, Party::Target(number)).and_then(secured) {
             Ok(conn) => {
                 let line = Line { conn, to: to.clone(), kind, up: false, pushed: 0, written: 0, used: now };
                 self.lines.insert(number, line);
@@ -280,6 +320,9 @@
 
     /// Sends what is to be sent, and reads what has come.
     pub fn turn(&mut self, now: Micros, replies: &mut Vec<(Number, Reply)>) {
+        if let Some(links) = &self.tls {
+            links.clock.set(now);
+        }
         let mut noted = std::mem::take(&mut self.noted);
         noted.sort_unstable();
         noted.dedup();
--- a/crates/matcher/src/conn.rs
+++ b/crates/matcher/src/conn.rs
@@ -4,6 +4,7 @@
 use super::world::{Readiness, Stream, World};
 use super::Party;
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 
@@ -32,6 +33,12 @@
     layer: Option<Box<Layer>>,
     /// Plain bytes to be sealed with the next [`flush`](Self::flush).
     plain: Vec<u8>,
+    /// Over TLS: bytes sent in all, and where in them the plain bytes sealed so far end. What has been handed to the
+    /// system counts in plain bytes: a caller that asks whether a request may have arrived means those.
+    sent_in_all: u64,
+    sealed: VecDeque<(u64, u64)>,
+    plain_in_all: u64,
+    plain_sent: u64,
 }
 
 impl<W: World> Conn<W> {
@@ -39,8 +46,22 @@
     #[must_use]
     pub fn new(stream: W::Stream) -> Self {
         let (input, output) = (Vec::new(), Vec::new());
-        let (layer, plain) = (None, Vec::new());
-        Self { stream, readable: false, writable: false, input, output, sent: 0, ended: false, layer, plain }
+        let (layer, plain, sealed) = (None, Vec::new(), VecDeque::new());
+        Self {
+            stream,
+            readable: false,
+            writable: false,
+            input,
+            output,
+            sent: 0,
+            ended: false,
+            layer,
+            plain,
+            sent_in_all: 0,
+            sealed,
+            plain_in_all: 0,
+            plain_sent: 0,
+        }
     }
 
     /// Speaks TLS from here on.
@@ -163,17 +184,34 @@
         self.output.len() - self.sent + self.plain.len()
     }
 
-    /// Sends what the system takes; returns how many bytes that were.
+    /// Sends what the system takes; returns how many bytes that were, over TLS how many plain bytes were sent whole.
     ///
     /// # Errors
     /// When the connection broke.
     pub fn flush(&mut self) -> io::Result<usize> {
-        if let Some(layer) = self.layer.as_deref_mut() {
-            layer.seal(&mut self.plain, &mut self.output);
-            trim(&mut self.plain);
+        let Some(layer) = self.layer.as_deref_mut() else { return self.send() };
+        let sealing = self.plain.len() as u64;
+        layer.seal(&mut self.plain, &mut self.output);
+        trim(&mut self.plain);
+        if sealing > 0 && self.plain.is_empty() {
+            self.plain_in_all += sealing;
+            let end = self.sent_in_all + (self.output.len() - self.sent) as u64;
+            self.sealed.push_back((end, self.plain_in_all));
+        }
+        let written = self.send();
+        let before = self.plain_sent;
+        while let Some(&(_, upto)) = self.sealed.front().filter(|(end, _)| *end <= self.sent_in_all) {
+            self.plain_sent = upto;
+            self.sealed.pop_front();
         }
+        written?;
+        Ok(usize::try_from(self.plain_sent - before).unwrap_or(usize::MAX))
+    }
+
+    fn send(&mut self) -> io::Result<usize> {
         let before = self.sent;
-        while self.writable && self.unsent() > 0 {
+        // Plain bytes that wait for a session are not among these.
+        while self.writable && self.output.len() > self.sent {
             match self.stream.write(&self.output[self.sent..]) {
                 Ok(n) => self.sent += n,
                 Err(e) if e.kind() == ErrorKind::WouldBlock => self.writable = false,
@@ -182,7 +220,8 @@
             }
         }
         let written = self.sent - before;
-        if self.unsent() == 0 {
+        self.sent_in_all += written as u64;
+        if self.output.len() == self.sent {
             self.output.clear();
             trim(&mut self.output);
             self.sent = 0;
--- a/src/operator/gateway.rs
+++ b/src/operator/gateway.rs
@@ -115,6 +115,53 @@
     connections: Option<usize>,
     /// Where names lead: they are not looked up.
     names: BTreeMap<String, String>,
+    tls: Option<LinksSection>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct LinksSection {
+    roots: String,
+    #[serde(default)]
+    certificate: Option<String>,
+    #[serde(default)]
+    key: Option<String>,
+    #[serde(default)]
+    server_name: Option<String>,
+}
+
+impl LinksSection {
+    fn check(self, folder: &Path) -> Result<cleatpulley_gateway::upstream::Links, Wrong> {
+        use cleatpulley_tls::pair::{certificates, Pair};
+        let roots_file = folder.join(&self.roots);
+        let bytes = std::fs::read(&roots_file)
+            .map_err(|e| ("targets.tls.roots".to_owned(), format!("{}: {e}", roots_file.display())))?;
+        let roots =
+            certificates(&roots_file, &bytes).map_err(|e| ("targets.tls.roots".to_owned(), e.to_string()))?;
+        let own = match (self.certificate, self.key) {
+            (None, None) => None,
+            (Some(certificate), Some(key)) => {
+                let pair = Pair::load(&folder.join(certificate), &folder.join(key));
+                Some(pair.map_err(|e| ("targets.tls.certificate".to_owned(), e.to_string()))?)
+            }
+            (Some(_), None) => return wrong("targets.tls.key", "a certificate needs its key"),
+            (None, Some(_)) => return wrong("targets.tls.certificate", "a key needs its certificate"),
+        };
+        if let Some(name) = &self.server_name {
+            if cleatpulley_tls::rustls::pki_types::ServerName::try_from(name.as_str()).is_err() {
+                return wrong("targets.tls.server_name", format!("{name:?} is no host's name or address"));
+            }
+        }
+        let clock = cleatpulley_tls::Clock::default();
+        let config = cleatpulley_tls::setup::client(
+            &roots,
+            own.as_ref(),
+            cleatpulley_tls::setup::Versions::Both,
+            &clock,
+        );
+        let config = config.map_err(|what| ("targets.tls.roots".to_owned(), what))?;
+        Ok(cleatpulley_gateway::upstream::Links { config, server_name: self.server_name, clock })
+    }
 }
 
 /// Reads the gateway's section of an operator file.
@@ -206,6 +253,7 @@
             }
         };
         let resolved = resolve(&routes, &self.targets.names)?;
+        let tls = self.targets.tls.map(|links| links.check(folder)).transpose()?;
         let ajp = self.ajp.map(|ajp| ajp.check(self.seed)).transpose()?;
         Ok(Options {
             name: self.name,
@@ -227,6 +275,7 @@
             sockets: self.sockets,
             stop: self.stop_ms * MS,
             grace: self.drain_grace_ms * MS,
+            tls,
         })
     }
 }
--- a/tests/tls.rs
+++ b/tests/tls.rs
@@ -271,3 +271,44 @@
     let mut again = connect(&files, matcher.frames, Some("fe-2")).expect("a handshake");
     assert!(matches!(ask(&mut again, "lobby-view", 9), Some(Said::Served(_))), "its place is free again");
 }
+
+/// A gateway that speaks AJP over TLS to a matcher, showing a certificate whose name the class asks for.
+#[test]
+fn a_gateway_reaches_a_matcher_over_tls_with_its_own_certificate() {
+    let files = Files::new();
+    let site = Site::start(Setup { instant: true, ..Setup::default() }).expect("a site");
+    let at = |name: &str| files.path(name).display().to_string();
+    let tls = format!(
+        "tls: {{ certificate: '{}', key: '{}', clients: {{ roots: '{}' }}, on: ['ajp'], permits: {{ 'claim-seat': ['fe-1'] }} }}",
+        at("n1.pem"),
+        at("n1.key"),
+        at("ca.pem")
+    );
+    let matcher =
+        Matcher::start(&program(), &site.config, Some(&site.operator("", &tls))).expect("it starts");
+    let to = matcher.ajp.expect("it speaks AJP");
+    let routes = "upstream m { server m7.portmore.example.org:9000; }\nserver {\n    location /seats { set $matcher_class claim-seat; proxy_pass http://m/claim-seat; }\n}\n";
+    let gateway = |own: &str| {
+        let operator = format!(
+            "{{ gateway: {{ frames: ['127.0.0.1:0'], frames_host: 'm', ajp: {{ listen: ['127.0.0.1:0'] }}, routes: 'nginx.conf', \
+             targets: {{ protocol: 'ajp', names: {{ 'm7.portmore.example.org:9000': '{to}' }}, \
+             tls: {{ roots: '{}', certificate: '{}', key: '{}', server_name: '127.0.0.1' }} }}, \
+             classes: {{ 'claim-seat': {{ deadline_ms: 3900, effect: true }} }} }} }}",
+            at("ca.pem"),
+            at(&format!("{own}.pem")),
+            at(&format!("{own}.key")),
+        );
+        Matcher::gateway(&program(), routes, &operator).expect("it starts")
+    };
+    let ask = |gateway: &Matcher, id: &str| {
+        let to = gateway.ajp.expect("it speaks AJP").to_string();
+        let id = format!("X-Request-Id:{id}");
+        let args = ["ajp", "request", to.as_str(), "/seats", "-H", &id, "-H", "Host:m", "--body", "x"];
+        let output = std::process::Command::new(program()).args(args).output().expect("it runs");
+        String::from_utf8_lossy(&output.stdout).into_owned()
+    };
+    let served = ask(&gateway("fe-1"), "00000000000000aa");
+    assert!(served.starts_with("200") && served.contains("grid of 00000000000000aa"), "{served}");
+    let forbidden = ask(&gateway("fe-2"), "00000000000000ab");
+    assert!(forbidden.starts_with("403"), "{forbidden}");
+}
