Let the stand-ins' AJP callers send once more what crossed their connection's end

Seen: with the whole suite run in parallel, a_second_upgrade_may_come_while_the_first_is_not_over failed once with "1 requests by AJP without an answer", and passed in five runs by itself. AJP has no word to part: a request sent on an idle connection in the moment the old process closes it gets no answer and never ran, in any server that closes idle connections. By frames such a request is sent once more (50 ms), and the emulator excuses it.

The change: a caller whose request was sent on a reused connection less than 50 ms before its end, with no answer, sends it once more; a second crossing counts as lost, and whatever ran twice is still found by the runtime's book.

--- a/crates/standin/src/callers.rs
+++ b/crates/standin/src/callers.rs
@@ -134,6 +134,8 @@
     id: u64,
     kind: usize,
     at: Micros,
+    /// It crossed the end of its connection once already.
+    again: bool,
 }
 
 struct FrameLink {
@@ -150,6 +152,8 @@
     client: Client,
     input: Vec<u8>,
     asked: Option<Asked>,
+    /// When that was sent, on a connection that had carried one before.
+    reused_at: Option<Micros>,
     waiting: Vec<u8>,
     up: bool,
 }
@@ -289,7 +293,7 @@
                 break;
             }
         }
-        let asked = Asked { id: self.random.random(), kind, at };
+        let asked = Asked { id: self.random.random(), kind, at, again: false };
         self.tallies[kind].asked += 1;
         self.sent.push((asked.id, at));
         if kind == 0 {
@@ -353,7 +357,8 @@
 
     fn ask_by_ajp(&mut self, now: Micros, out: &mut Vec<Effect>) {
         while let Some(asked) = self.queue.pop_front() {
-            let link = match self.idle.pop() {
+            let idle = self.idle.pop();
+            let link = match idle {
                 Some(link) => link,
                 None if self.ajp.len() < self.plan.connections => {
                     self.links += 2;
@@ -364,8 +369,8 @@
                         server: ("matcher".to_owned(), self.plan.to.port()),
                     };
                     let client = Client::new(options, now);
-                    let fresh =
-                        AjpLink { client, input: Vec::new(), asked: None, waiting: Vec::new(), up: false };
+                    let (input, waiting) = (Vec::new(), Vec::new());
+                    let fresh = AjpLink { client, input, asked: None, reused_at: None, waiting, up: false };
                     self.ajp.insert(self.links, fresh);
                     self.links
                 }
@@ -398,6 +403,7 @@
             // So few headers fit.
             let _ = line.client.request(now, &request, &mut bytes);
             line.asked = Some(asked);
+            line.reused_at = idle.map(|_| now);
             send(link, line.up, &mut line.waiting, bytes, out);
         }
     }
@@ -478,6 +484,9 @@
     }
 }
 
+/// What was sent so shortly before its connection ended without an answer may have crossed that.
+const CROSSING: Micros = 50_000;
+
 /// What an answer says.
 #[derive(Debug)]
 pub enum Said {
@@ -629,7 +638,13 @@
         }
         if let Some(line) = self.ajp.remove(&link) {
             up = line.up;
-            lost.extend(line.asked);
+            match line.asked {
+                // AJP has no word to part: what crosses the end of an idle connection is sent once more, as by frames.
+                Some(asked) if !asked.again && line.reused_at.is_some_and(|at| now < at + CROSSING) => {
+                    self.queue.push_front(Asked { again: true, ..asked });
+                }
+                asked => lost.extend(asked),
+            }
         }
         for asked in lost {
             let tally = &mut self.tallies[asked.kind];
