--- a/crates/admission/src/admit.rs
+++ b/crates/admission/src/admit.rs
@@ -1,7 +1,7 @@
 //! The decisions: who gets a place, and whose it was.
 
 use crate::net::{key, Net};
-use crate::rate::{Rate, Rates};
+use crate::rate::{Look, Rate, Rates};
 use crate::standing::{Earned, Standing};
 use cleatpulley_policy::interface::Micros;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -11,6 +11,9 @@
 /// way.
 pub const FAIR: Micros = 50_000;
 
+/// Cells that count prefixes are fewer than those for addresses by this.
+const PREFIXES: usize = 8;
+
 /// What an address, or a prefix, may have.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Cap {
@@ -120,8 +123,8 @@
     groups: HashMap<Net, Group>,
     /// Prefixes by how many places their unknown callers have.
     weights: BTreeSet<(usize, Net)>,
-    /// Unknown connections that have said nothing whole yet, by their age.
-    silent: BTreeSet<(Micros, u64)>,
+    /// Connections that have said nothing whole yet, by how they are known and their age.
+    silent: BTreeSet<(Known, Micros, u64)>,
     named: usize,
     earned: usize,
     /// What was decided.
@@ -132,10 +135,11 @@
     /// One that has seen nobody.
     #[must_use]
     pub fn new(settings: Settings, now: Micros) -> Self {
-        let rates = |cap: &Cap| cap.rate.map(|rate| Rates::new(rate, settings.width, now));
+        let rates = |cap: &Cap, width| cap.rate.map(|rate| Rates::new(rate, width, now));
         Self {
-            address_rates: rates(&settings.address),
-            prefix_rates: rates(&settings.prefix),
+            address_rates: rates(&settings.address, settings.width),
+            // Fewer prefixes than addresses are busy at a time.
+            prefix_rates: rates(&settings.prefix, settings.width / PREFIXES),
             standing: settings.earned.map(|earned| Standing::new(earned, settings.seed)),
             places: HashMap::new(),
             groups: HashMap::new(),
@@ -232,22 +236,38 @@
 
     /// The caps of an operator, which also hold where there is room.
     fn beyond_caps(&mut self, now: Micros, address: IpAddr, prefix: Net) -> Option<Why> {
-        let group = self.groups.get(&prefix);
-        let of_address = group.and_then(|group| group.addresses.get(&address)).map_or(0, BTreeSet::len);
-        if self.settings.address.places.is_some_and(|most| of_address >= most) {
-            return Some(Why::AddressPlaces);
-        }
-        if self.settings.prefix.places.is_some_and(|most| group.map_or(0, |group| group.count) >= most) {
-            return Some(Why::PrefixPlaces);
+        let (address_places, prefix_places) = (self.settings.address.places, self.settings.prefix.places);
+        if address_places.is_some() || prefix_places.is_some() {
+            let group = self.groups.get(&prefix);
+            let of_address = group.and_then(|group| group.addresses.get(&address)).map_or(0, BTreeSet::len);
+            if address_places.is_some_and(|most| of_address >= most) {
+                return Some(Why::AddressPlaces);
+            }
+            if prefix_places.is_some_and(|most| group.map_or(0, |group| group.count) >= most) {
+                return Some(Why::PrefixPlaces);
+            }
         }
+        // Both are looked at before either is decided on: their cells lie far apart in memory, and are fetched at once.
         let seed = self.settings.seed;
-        let own = Net::of(address, 128);
-        if self.address_rates.as_mut().is_some_and(|rates| !rates.take(now, key(seed, &own))) {
+        let looked = |rates: &Option<Rates>, net: &Net| rates.as_ref().map(|r| r.look(now, key(seed, net)));
+        let own = looked(&self.address_rates, &Net::of(address, 128));
+        let of_prefix = looked(&self.prefix_rates, &prefix);
+        let room = |rates: &Option<Rates>, look: &Option<Look>| match (rates, look) {
+            (Some(rates), Some(look)) => rates.has_room(look),
+            _ => true,
+        };
+        if !room(&self.address_rates, &own) {
             return Some(Why::AddressRate);
         }
-        if self.prefix_rates.as_mut().is_some_and(|rates| !rates.take(now, key(seed, &prefix))) {
+        if !room(&self.prefix_rates, &of_prefix) {
             return Some(Why::PrefixRate);
         }
+        // What is turned away counts for neither.
+        for (rates, look) in [(&mut self.address_rates, own), (&mut self.prefix_rates, of_prefix)] {
+            if let (Some(rates), Some(look)) = (rates, look) {
+                rates.put(&look);
+            }
+        }
         None
     }
 
@@ -264,9 +284,10 @@
         self.places.len() + kept < most
     }
 
-    /// Whose place goes to the one that came. A known caller takes an unknown one's, the silent longest first. Among the
-    /// unknown the heaviest prefix gives to a lighter one, and in it the heaviest address; where none is heavier, who has
-    /// said nothing for long gives way.
+    /// Whose place goes to the one that came. A known caller takes an unknown one's, the silent longest first, and where no
+    /// unknown one can go, that of who is known no better and has said nothing for long: a caller that is named and holds
+    /// connections without a word would else keep the others out. Among the unknown the heaviest prefix gives to a lighter
+    /// one, and in it the heaviest address; where none is heavier, who has said nothing for long gives way.
     fn victim(
         &self,
         now: Micros,
@@ -275,13 +296,15 @@
         prefix: Net,
         spare: impl Fn(u64) -> bool,
     ) -> Option<u64> {
-        let silent = self.silent.first().filter(|(since, _)| now >= since + FAIR).map(|(_, number)| *number);
+        let silent = self.silent_longest(now, Known::Unknown);
         let heaviest = self.weights.last().copied();
         if known != Known::Unknown {
-            return silent.or_else(|| {
-                // Whoever owes nothing, from the heaviest prefix on.
+            // Whoever owes nothing, from the heaviest prefix on.
+            let spared = || {
                 self.weights.iter().rev().find_map(|(_, prefix)| self.lightest_loss(*prefix, None, &spare))
-            });
+            };
+            let named = || self.silent_longest(now, Known::Named).filter(|_| known == Known::Named);
+            return silent.or_else(spared).or_else(|| self.silent_longest(now, Known::Earned)).or_else(named);
         }
         let own = self.groups.get(&prefix);
         let (own_prefix, own_address) =
@@ -299,6 +322,12 @@
         silent
     }
 
+    /// Who is known so and has said nothing whole for longest.
+    fn silent_longest(&self, now: Micros, known: Known) -> Option<u64> {
+        let first = self.silent.range((known, 0, 0)..).next().filter(|silent| silent.0 == known);
+        first.filter(|(_, since, _)| now >= since + FAIR).map(|(_, _, number)| *number)
+    }
+
     /// Of a prefix's heaviest address the connection whose end costs least: one that has said nothing whole, then one that owes
     /// nothing. With `above` only an address with more places than that gives one.
     fn lightest_loss(&self, prefix: Net, above: Option<usize>, spare: &impl Fn(u64) -> bool) -> Option<u64> {
@@ -320,11 +349,11 @@
         if self.places.insert(number, place).is_some() {
             return;
         }
+        self.silent.insert((known, now, number));
         match known {
             Known::Named => self.named += 1,
             Known::Earned => self.earned += 1,
             Known::Unknown => {
-                self.silent.insert((now, number));
                 let group = self.groups.entry(prefix).or_default();
                 self.weights.remove(&(group.count, prefix));
                 group.count += 1;
@@ -338,7 +367,7 @@
     pub fn spoke(&mut self, number: u64) {
         if let Some(place) = self.places.get_mut(&number).filter(|place| !place.spoken) {
             place.spoken = true;
-            self.silent.remove(&(place.since, number));
+            self.silent.remove(&(place.known, place.since, number));
         }
     }
 
@@ -367,11 +396,11 @@
     /// A connection has left its place.
     pub fn leave(&mut self, number: u64) {
         let Some(place) = self.places.remove(&number) else { return };
+        self.silent.remove(&(place.known, place.since, number));
         match place.known {
             Known::Named => self.named -= 1,
             Known::Earned => self.earned -= 1,
             Known::Unknown => {
-                self.silent.remove(&(place.since, number));
                 let Some(group) = self.groups.get_mut(&place.prefix) else { return };
                 self.weights.remove(&(group.count, place.prefix));
                 group.count -= 1;
--- a/crates/admission/src/net.rs
+++ b/crates/admission/src/net.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr};
 use std::str::FromStr;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Addresses that share their first bits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -70,16 +71,17 @@
 /// A number of an address or a net that nobody can choose so as to meet another's.
 #[must_use]
 pub fn key(seed: u64, net: &Net) -> u64 {
-    let mut bytes = [0; 18];
     match net.address {
-        IpAddr::V4(four) => bytes[..4].copy_from_slice(&four.octets()),
+        IpAddr::V4(four) => {
+            let [a, b, c, d] = four.octets();
+            xxh3_64_with_seed(&[a, b, c, d, net.bits, 0, 0, 4], seed)
+        }
         IpAddr::V6(six) => {
+            let mut bytes = [net.bits; 17];
             bytes[..16].copy_from_slice(&six.octets());
-            bytes[17] = 1;
+            xxh3_64_with_seed(&bytes, seed)
         }
     }
-    bytes[16] = net.bits;
-    xxhash_rust::xxh3::xxh3_64_with_seed(&bytes, seed)
 }
 
 #[cfg(test)]
--- a/crates/admission/src/rate.rs
+++ b/crates/admission/src/rate.rs
@@ -26,7 +26,9 @@
 /// The buckets.
 #[derive(Debug, Clone)]
 pub struct Rates {
-    rate: Rate,
+    /// What leaks in a millisecond, and what fits.
+    per_ms: f32,
+    burst: f32,
     begin: Micros,
     mask: usize,
     cells: Vec<Cell>,
@@ -37,7 +39,8 @@
     #[must_use]
     pub fn new(rate: Rate, width: usize, begin: Micros) -> Self {
         let width = width.clamp(16, 1 << 24).next_power_of_two();
-        Self { rate, begin, mask: width - 1, cells: vec![Cell::default(); ROWS * width] }
+        let (per_ms, burst) = ((rate.per_second / 1e3) as f32, rate.burst.max(1.0) as f32);
+        Self { per_ms, burst, begin, mask: width - 1, cells: vec![Cell::default(); ROWS * width] }
     }
 
     /// Bytes that it takes, however many keys there are.
@@ -46,31 +49,57 @@
         self.cells.len() * size_of::<Cell>()
     }
 
-    /// One more of this key, whose bits are evenly spread; false where it is one too many, which then counts for nothing.
-    pub fn take(&mut self, now: Micros, key: u64) -> bool {
+    /// Where a key, whose bits are evenly spread, stands; nothing is counted.
+    #[inline]
+    #[must_use]
+    pub fn look(&self, now: Micros, key: u64) -> Look {
         let at = (now.saturating_sub(self.begin) / 1_000) as u32;
-        let mut places = [0; ROWS];
-        let mut levels = [0.0_f32; ROWS];
-        let mut least = f32::MAX;
+        let mut look = Look { at, places: [0; ROWS], levels: [0.0; ROWS], least: f32::MAX };
         for row in 0..ROWS {
             // Sixteen bits of the key on their own for each row, and all of it mixed once more where rows are wider.
             let spread = key.rotate_left(16 * row as u32).wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 32;
-            places[row] = row * (self.mask + 1) + (spread as usize & self.mask);
-            let cell = self.cells[places[row]];
-            let leaked = f64::from(at.wrapping_sub(cell.at)) / 1e3 * self.rate.per_second;
-            levels[row] = (cell.level - leaked as f32).max(0.0);
-            least = least.min(levels[row]);
+            look.places[row] = row * (self.mask + 1) + (spread as usize & self.mask);
+            let cell = self.cells[look.places[row]];
+            let leaked = at.wrapping_sub(cell.at) as f32 * self.per_ms;
+            look.levels[row] = (cell.level - leaked).max(0.0);
+            look.least = look.least.min(look.levels[row]);
         }
-        if f64::from(least) + 1.0 > self.rate.burst.max(1.0) {
-            return false;
+        look
+    }
+
+    /// There is room for one more of the key that was looked at.
+    #[must_use]
+    pub fn has_room(&self, look: &Look) -> bool {
+        look.least + 1.0 <= self.burst
+    }
+
+    /// Counts one more of the key that was looked at just now.
+    pub fn put(&mut self, look: &Look) {
+        for (place, level) in look.places.iter().zip(look.levels) {
+            self.cells[*place] = Cell { level: level.max(look.least + 1.0), at: look.at };
         }
-        for row in 0..ROWS {
-            self.cells[places[row]] = Cell { level: levels[row].max(least + 1.0), at };
+    }
+
+    /// One more of this key; false where it is one too many, which then counts for nothing.
+    pub fn take(&mut self, now: Micros, key: u64) -> bool {
+        let look = self.look(now, key);
+        let room = self.has_room(&look);
+        if room {
+            self.put(&look);
         }
-        true
+        room
     }
 }
 
+/// Where a key stands.
+#[derive(Debug, Clone, Copy)]
+pub struct Look {
+    at: u32,
+    places: [usize; ROWS],
+    levels: [f32; ROWS],
+    least: f32,
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/admission/tests/admit.rs
+++ b/crates/admission/tests/admit.rs
@@ -127,8 +127,26 @@
     front.answer(numbers[1]);
     assert!(front.come("10.9.0.1").is_ok());
     assert!(!front.owes.contains_key(&numbers[1]));
-    // A named caller's place goes to nobody.
+    // A named caller's place goes to nobody while it may be about to speak, or has spoken.
     assert_eq!(front.come("10.9.0.2"), Err(Why::Full));
+    front.ask(front.numbers);
+    front.answer(front.numbers);
+    front.now += 10 * SECOND;
+    assert_eq!(front.come("10.9.0.2"), Err(Why::Full));
+}
+
+/// Guards against callers that are named, or have earned it, and hold connections without a word: others as good get in.
+#[test]
+fn the_silence_of_known_callers_keeps_no_known_one_out() {
+    let mut front = Front::new(settings(), 4);
+    let silent: Vec<_> = (0..4).map(|n| front.come(&format!("10.9.0.{n}")).expect("room")).collect();
+    assert_eq!(front.come("10.9.1.1"), Err(Why::Full), "what they sent may be on its way");
+    front.now += FAIR;
+    assert!(front.come("10.9.1.1").is_ok());
+    assert!(!front.owes.contains_key(&silent[0]), "the silent longest");
+    assert_eq!(front.come("10.1.0.1"), Err(Why::Full), "and not for an unknown one");
+    front.admission.import(front.now, &[(ip("10.5.0.1"), 9.0)]);
+    assert_eq!(front.come("10.5.0.1"), Err(Why::Full), "nor for one who has earned it");
 }
 
 #[test]
@@ -170,6 +188,19 @@
     assert_eq!((counts.admitted, counts.rate, counts.places), (507, 1, 2));
 }
 
+/// What its prefix's cap turns away takes nothing from an address's own.
+#[test]
+fn what_is_turned_away_counts_for_nothing() {
+    let rate = |per_second, burst| Some(Rate { per_second, burst });
+    let address = Cap { places: None, rate: rate(0.1, 3.0) };
+    let prefix = Cap { places: None, rate: rate(1.0, 2.0) };
+    let mut front = Front::new(Settings { address, prefix, ..settings() }, 1_000);
+    assert!((0..2).all(|_| front.come("10.1.1.2").is_ok()));
+    assert!((0..20).all(|_| front.come("10.1.1.1") == Err(Why::PrefixRate)));
+    front.now += 3 * SECOND;
+    assert!((0..2).all(|_| front.come("10.1.1.1").is_ok()), "its own cap is untouched");
+}
+
 /// Standing is earned by answers over time, finds its place in a flood, also after it was handed on, and takes no named one's.
 #[test]
 fn who_has_earned_it_finds_a_place_in_a_flood() {
--- a/src/operator/admission.rs
+++ b/src/operator/admission.rs
@@ -10,8 +10,9 @@
 use std::fmt;
 
 const SECOND: u64 = 1_000_000;
-/// Cells of each row of the counts of new connections: two megabytes each for addresses and prefixes.
-pub const WIDTH: usize = 65_536;
+/// Cells of each row of the counts of new connections: a megabyte for addresses, and an eighth of that for prefixes. Twice
+/// as many would lie beyond the caches of most cores, and a decision would take half as long again.
+pub const WIDTH: usize = 32_768;
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
