Answer what comes on connections turned away, keep a spare descriptor, flood the emulator

Seen: a connection that got no place was closed over whatever had come on it, a keyed request that may have run among it, and a name over its cap was told that its request never ran, which may be false for a key.

A descriptor is kept through the seam (World::spare): where the system has no other, it is given up to see who waits; a known caller takes a stranger's place, others are closed. The emulator has floods of up to 5,000 addresses, says EMFILE as the system does, and excuses refusals by a full queue.

--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -679,8 +679,13 @@
         type Listener = ();
         type Keeper = NoKeeper;
         type Post = ();
+        type Spare = ();
         type Passage = Nobody;
 
+        fn spare(&self) -> io::Result<()> {
+            Ok(())
+        }
+
         fn is_taken(&self, _: SocketAddr) -> bool {
             false
         }
--- a/crates/matcher/src/conn.rs
+++ b/crates/matcher/src/conn.rs
@@ -164,6 +164,12 @@
         Ok(false)
     }
 
+    /// Nothing is known to wait unread, and no part of a message is held.
+    #[must_use]
+    pub fn is_drained(&self) -> bool {
+        !self.readable && self.input.is_empty()
+    }
+
     /// Drops so many bytes from the front of `input`.
     pub fn consume(&mut self, used: usize) {
         self.input.drain(..used);
--- a/crates/matcher/src/front.rs
+++ b/crates/matcher/src/front.rs
@@ -1,32 +1,27 @@
 //! The connections of the client side: accepting, places, silent and idle connections, crowding, drain and the end
 //! are the same for every protocol and live here; what the bytes mean is a [`Machine`]'s.
 
+mod accept;
 mod tls;
 
 use super::conn::Conn;
-use super::secure::{Layer, Tls};
+use super::secure::Tls;
 use super::world::{Readiness, World};
-use super::Party;
 use cleatpulley_admission::admit::Known;
 use cleatpulley_admission::handshake::Handshakes;
 use cleatpulley_admission::identity::Identities;
-use cleatpulley_admission::{Admission, Decision};
+use cleatpulley_admission::Admission;
 use cleatpulley_exchange::{Answer, Arrival, Fact, Origin};
 use cleatpulley_policy::interface::Micros;
-use cleatpulley_policy::plant::{planted, Bug};
 use cleatpulley_protocol::frame::connection::PARTING;
 use cleatpulley_protocol::machine::{Context, Machine, Standing};
 use cleatpulley_protocol::{ajp, frame};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::io::{self, ErrorKind};
+use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 
-/// Connections accepted in one turn on each listener.
-const ACCEPTS: usize = 128;
-/// Wait after the system had no descriptor for a new connection.
-const ACCEPT_PAUSE: Micros = 50_000;
 /// Bytes read from a connection in one turn, so that a loud peer blocks nobody.
 const READ_AT_ONCE: usize = 65_536;
 /// A peer that leaves so much unread is not read from: its answers would pile up here. What its open requests
@@ -35,6 +30,9 @@
 /// After our end is closed, what the peer sent before is read away for so long: closing over unread bytes
 /// would take back answers on their way.
 const LINGER: Micros = 2_000_000;
+/// A connection turned away is closed after this, once what came on it is answered: twice the time within which a front
+/// end sends once more what crossed the word to part.
+const REFUSED_LINGER: Micros = 100_000;
 /// How often idle and parting connections are looked for.
 const SWEEP: Micros = 100_000;
 /// A sweep that comes so late tells of a pause of the machine, which is no silence of the peers.
@@ -109,7 +107,8 @@
     known: Known,
     /// The names of the certificate it showed, where it spoke TLS.
     names: Vec<String>,
-    /// Its name is over its cap: whatever it asks for is turned away, and it is told to part.
+    /// It got no place, or its name is over its cap: it is told to part, and closed soon after what came on it is
+    /// answered.
     over: bool,
 }
 
@@ -155,6 +154,10 @@
     tls: Option<Rc<RefCell<Tls>>>,
     handshakes: Option<Handshakes>,
     identities: Option<Identities>,
+    /// Connections that are `over`.
+    refused: usize,
+    /// A descriptor kept for the moment at which no other is left, where it matters who comes then.
+    spare: Option<W::Spare>,
 }
 
 impl<W: World> Front<W> {
@@ -184,6 +187,8 @@
             tls: None,
             handshakes: None,
             identities: None,
+            refused: 0,
+            spare: None,
         }
     }
 
@@ -212,6 +217,7 @@
     /// Lets these decisions say who gets a place.
     pub fn set_admission(&mut self, admission: Admission) {
         self.admission = Some(admission);
+        self.keep_spare();
     }
 
     /// The decisions on places, where there are any.
@@ -340,6 +346,12 @@
         (listeners, self.peers.len(), open)
     }
 
+    /// Descriptors that are kept for later.
+    #[must_use]
+    pub fn spares(&self) -> usize {
+        usize::from(self.spare.is_some())
+    }
+
     /// Connections that stand.
     #[must_use]
     pub fn connections(&self) -> usize {
@@ -490,6 +502,7 @@
 
     fn close(&mut self, number: u64, facts: &mut Vec<Fact>) {
         if let Some(peer) = self.peers.remove(&number) {
+            self.refused -= usize::from(peer.over);
             if peer.machine.status().open > 0 {
                 facts.push(Fact::OriginLost(number));
             }
@@ -527,117 +540,6 @@
         true
     }
 
-    fn accept(&mut self, now: Micros, facts: &mut Vec<Fact>) {
-        for place in 0..self.doors.len() {
-            if now < self.accept_at || self.resting {
-                return;
-            }
-            self.accept_at_door(place, now, facts);
-        }
-        if self.parting && !self.doors.is_empty() && !self.acceptable() {
-            self.doors.clear();
-        }
-    }
-
-    fn accept_at_door(&mut self, place: usize, now: Micros, facts: &mut Vec<Fact>) {
-        for _ in 0..ACCEPTS {
-            if !self.doors[place].acceptable {
-                return;
-            }
-            // Those beyond the bound wait with the system, where they cost us nothing; but where it matters who comes, a known
-            // caller may stand behind them, and only accepting tells.
-            let full = self.peers.len() >= self.most && self.admission.is_none();
-            if full && !self.make_room(now, facts) {
-                self.accept_at = now + ACCEPT_PAUSE;
-                return;
-            }
-            let number = self.numbers + 1;
-            let door = &mut self.doors[place];
-            let Some(listener) = &door.listener else {
-                door.acceptable = false;
-                return;
-            };
-            let (stream, address) = match self.world.accept(listener, Party::Front(number)) {
-                Ok(accepted) => accepted,
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                    door.acceptable = false;
-                    return;
-                }
-                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {
-                    continue
-                }
-                Err(e) => {
-                    // Guards against a loop at full speed while descriptors are short.
-                    tracing::warn!("no connection accepted for a while: {e}");
-                    self.make_room(now, facts);
-                    self.accept_at = now + ACCEPT_PAUSE;
-                    if planted(Bug::AcceptForgotten) {
-                        self.accept_at = Micros::MAX;
-                    }
-                    return;
-                }
-            };
-            self.numbers = number;
-            let mut conn = Conn::new(stream);
-            let mut machine = door.speaks.machine(now, address);
-            let secure = door.secure;
-            let known = self.admit(now, address, facts);
-            let (good, feedback) = (self.good, self.feedback);
-            let context = Context { now, number, classes: &self.classes, good, feedback };
-            let Some(known) = known else {
-                // A word where the protocol has one, if it can be said at once.
-                if secure {
-                    conn.output().extend_from_slice(&super::secure::BUSY_ALERT);
-                } else {
-                    machine.part(&context, conn.output());
-                }
-                conn.note(Readiness { readable: false, writable: true });
-                let _ = conn.flush();
-                continue;
-            };
-            if secure {
-                conn.secure(Layer::new());
-                if let Some(handshakes) = &mut self.handshakes {
-                    handshakes.accepted(now, number);
-                }
-            }
-            if let Some(admission) = &mut self.admission {
-                admission.enter(now, number, address, known);
-            }
-            if self.leaving {
-                machine.leave(&context, conn.output());
-            }
-            if self.parting {
-                machine.part(&context, conn.output());
-            }
-            let names = Vec::new();
-            self.peers.insert(number, Peer { conn, machine, lingers: None, known, names, over: false });
-        }
-    }
-
-    /// Whether a connection from this address gets a place, and how its caller is known; another may lose its own for it.
-    fn admit(&mut self, now: Micros, address: IpAddr, facts: &mut Vec<Fact>) -> Option<Known> {
-        let Some(admission) = &mut self.admission else { return Some(Known::Unknown) };
-        let peers = &self.peers;
-        let spare = |number: u64| {
-            peers.get(&number).is_some_and(|peer| {
-                let status = peer.machine.status();
-                status.open == 0 && (peer.lingers.is_some() || !status.spoken || status.waits.is_none())
-            })
-        };
-        match admission.decide(now, address, self.most, spare) {
-            Decision::Admit(known) => Some(known),
-            Decision::Instead(number, known) => {
-                self.close(number, facts);
-                Some(known)
-            }
-            Decision::Refuse(why) => {
-                tracing::debug!("a connection from {address} gets no place: {why:?}");
-                None
-            }
-        }
-    }
-
     fn sweep(&mut self, now: Micros) {
         if self.yielding {
             self.send_away(now);
@@ -734,7 +636,9 @@
         let status = self.machine.status();
         let over = match status.standing {
             Standing::Open => self.conn.ended,
-            Standing::Parting(since) => self.conn.ended || now >= since + PARTING,
+            Standing::Parting(since) => {
+                self.conn.ended || now >= since + if self.over { REFUSED_LINGER } else { PARTING }
+            }
             Standing::Lost => true,
         };
         self.lingers.is_none() && over && status.open == 0 && self.conn.unsent() == 0
@@ -743,6 +647,7 @@
 
 #[cfg(test)]
 mod tests {
+    use super::accept::ACCEPT_PAUSE;
     use super::*;
     use crate::real::Real;
     use std::net::TcpStream;
--- a/crates/matcher/src/front/tls.rs
+++ b/crates/matcher/src/front/tls.rs
@@ -6,13 +6,10 @@
 use crate::world::World;
 use cleatpulley_admission::admit::Known;
 use cleatpulley_admission::handshake::{Offer, Turn};
-use cleatpulley_exchange::{Answer, Fact};
+use cleatpulley_exchange::Fact;
 use cleatpulley_policy::interface::Micros;
 use cleatpulley_protocol::machine::Context;
 
-/// A caller whose name is over its cap is told to come back after this long.
-const AGAIN_LATER: Micros = 1_000_000;
-
 impl Tls {
     /// Whether a door of this kind speaks TLS.
     #[must_use]
@@ -68,22 +65,15 @@
                 Some(Ok(false)) | None => {}
             }
         }
-        let context =
-            Context { now, number, classes: &self.classes, good: self.good, feedback: self.feedback };
         if let Some(why) = over {
+            // Told to part; what it asked already goes on, for a keyed request may have run before.
+            let context =
+                Context { now, number, classes: &self.classes, good: self.good, feedback: self.feedback };
             tracing::debug!("front end connection {number}: its name is over its cap: {why:?}");
             peer.over = true;
+            self.refused += 1;
             peer.machine.part(&context, peer.conn.output());
         }
-        if peer.over {
-            // Nothing it asks for runs: each is told so, also what crosses the word to part.
-            let refused = Answer::Refused { later: AGAIN_LATER, last: false };
-            for arrival in self.arrivals.drain(..) {
-                peer.machine.answer(&context, arrival.origin.stream, &refused, peer.conn.output());
-            }
-            self.noted.push(number);
-            return;
-        }
         let tls = self.tls.as_ref().map(|tls| tls.borrow());
         for arrival in self.arrivals.drain(..) {
             let permitted = tls.as_ref().is_none_or(|tls| tls.permits(arrival.class, &peer.names));
--- a/crates/matcher/src/lib.rs
+++ b/crates/matcher/src/lib.rs
@@ -163,7 +163,7 @@
     pub open: usize,
     /// Calls to the store, those that wait for a connection among them.
     pub calls: usize,
-    /// Sockets: listeners, connections, the pool, the links.
+    /// Listeners, connections, the pool, the links, and what is kept for later.
     pub descriptors: usize,
 }
 
@@ -338,7 +338,8 @@
         let (calls, pool) = self.store.census();
         let asked = self.operators.as_ref().map_or(0, |operators| operators.connections() + 1);
         let passes = self.upgrade.as_ref().map_or(0, upgrade::Upgrade::descriptors);
-        let links = usize::from(self.runtime.linked()) + usize::from(self.directory.linked());
+        let links =
+            usize::from(self.runtime.linked()) + usize::from(self.directory.linked()) + self.front.spares();
         Census {
             requests: self.exchange.requests(),
             unanswered: self.exchange.unanswered(),
--- a/crates/matcher/src/real.rs
+++ b/crates/matcher/src/real.rs
@@ -264,6 +264,7 @@
     type Listener = Listener;
     type Keeper = Keeping;
     type Post = Post;
+    type Spare = std::fs::File;
     type Passage = Passage;
 
     fn now(&self) -> Micros {
@@ -326,6 +327,10 @@
         Ok((watched?, address.ip()))
     }
 
+    fn spare(&self) -> io::Result<std::fs::File> {
+        std::fs::File::open("/dev/null")
+    }
+
     fn connect(&self, to: SocketAddr, party: Party) -> io::Result<Connection> {
         let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
--- a/crates/matcher/src/world.rs
+++ b/crates/matcher/src/world.rs
@@ -100,6 +100,8 @@
     type Keeper: Keeper;
     /// Where successors come to; they may until it is dropped.
     type Post;
+    /// A descriptor that is kept for later; it is free once this is dropped.
+    type Spare;
     /// A connection to the other process of an upgrade.
     type Passage: Passage<Listener = Self::Listener>;
 
@@ -121,6 +123,12 @@
     /// [`WouldBlock`](io::ErrorKind::WouldBlock) where none waits, and those of the system.
     fn accept(&self, listener: &Self::Listener, party: Party) -> io::Result<(Self::Stream, IpAddr)>;
 
+    /// Keeps a descriptor, so that a connection can be accepted where no other is left.
+    ///
+    /// # Errors
+    /// Those of the system.
+    fn spare(&self) -> io::Result<Self::Spare>;
+
     /// Begins to connect; the first readiness tells how that went.
     ///
     /// # Errors
--- a/crates/rig/src/faults.rs
+++ b/crates/rig/src/faults.rs
@@ -101,6 +101,11 @@
                 self.rude.crowd(m, to, number);
                 self.with_service(RUDE, |place, service| place.schedule(service));
             }
+            Fault::Flood { sources, number } => {
+                let to = self.machines[m].frames;
+                self.rude.flood(m, to, number, sources);
+                self.with_service(RUDE, |place, service| place.schedule(service));
+            }
         }
         self.net.borrow_mut().queue.push(ends, Event::Undo(i));
     }
--- a/crates/rig/src/host.rs
+++ b/crates/rig/src/host.rs
@@ -236,6 +236,18 @@
     }
 }
 
+/// A descriptor that is kept for later.
+pub struct VirtualSpare {
+    net: Shared,
+    process: usize,
+}
+
+impl Drop for VirtualSpare {
+    fn drop(&mut self) {
+        self.net.borrow_mut().let_go(self.process);
+    }
+}
+
 impl VirtualListener {
     pub(crate) fn new(net: Shared, address: SocketAddr, number: u64, process: usize) -> Self {
         Self { net, address, number, process }
@@ -290,8 +302,14 @@
     type Listener = VirtualListener;
     type Keeper = VirtualKeeper;
     type Post = VirtualPost;
+    type Spare = VirtualSpare;
     type Passage = VirtualPassage;
 
+    fn spare(&self) -> io::Result<VirtualSpare> {
+        self.net.borrow_mut().hold(self.process)?;
+        Ok(VirtualSpare { net: Rc::clone(&self.net), process: self.process })
+    }
+
     fn is_taken(&self, address: SocketAddr) -> bool {
         self.net.borrow().listeners(address) > 0
     }
@@ -326,7 +344,7 @@
         let mut net = self.net.borrow_mut();
         let owner = Owner::Node(self.slot, party).encode();
         let end = net.accept_at(listener.address, listener.number, self.process, owner)?;
-        let address = net.address();
+        let address = net.address_of(end);
         Ok((VirtualStream { net: Rc::clone(&self.net), end }, address))
     }
 
--- a/crates/rig/src/net.rs
+++ b/crates/rig/src/net.rs
@@ -110,6 +110,10 @@
     pub partial: bool,
     /// Accepts and connects that found no descriptor.
     pub exhausted: u64,
+    /// When a queue of connections to be accepted was last full, by its address.
+    full_at: BTreeMap<SocketAddr, Micros>,
+    /// Ends that dialled from another address than that of front ends.
+    froms: BTreeMap<EndId, IpAddr>,
 }
 
 impl<E> Net<E> {
@@ -125,6 +129,8 @@
             doors: BTreeMap::new(),
             numbers: 0,
             processes: Vec::new(),
+            full_at: BTreeMap::new(),
+            froms: BTreeMap::new(),
             partial: false,
             exhausted: 0,
         }
@@ -309,10 +315,13 @@
         owner: u64,
     ) -> io::Result<EndId> {
         let door = self.door(address, number).ok_or(ErrorKind::NotConnected)?;
-        if door.backlog.is_empty() {
+        let nobody = door.backlog.is_empty();
+        // The system looks for a descriptor before it looks whether anybody waits.
+        self.take_descriptor(process)?;
+        if nobody {
+            self.processes[process].held -= 1;
             return Err(ErrorKind::WouldBlock.into());
         }
-        self.take_descriptor(process)?;
         let end = self.door(address, number).and_then(|door| door.backlog.pop_front());
         let end = end.ok_or(ErrorKind::WouldBlock)?;
         (self.ends[end].owner, self.ends[end].process) = (owner, process);
@@ -328,7 +337,25 @@
     /// # Errors
     /// Where no descriptor is left.
     pub fn connect(&mut self, to: SocketAddr, process: usize, owner: u64) -> io::Result<EndId> {
+        let from = self.address();
+        self.connect_from(to, process, owner, from)
+    }
+
+    /// Begins to connect, from this address.
+    ///
+    /// # Errors
+    /// Where no descriptor is left.
+    pub fn connect_from(
+        &mut self,
+        to: SocketAddr,
+        process: usize,
+        owner: u64,
+        from: IpAddr,
+    ) -> io::Result<EndId> {
         self.take_descriptor(process)?;
+        if from != self.address() {
+            self.froms.insert(self.ends.len(), from);
+        }
         let latency = self.random.random_range(30..200);
         let end = self.ends.len();
         self.ends.push(End { owner, process, latency, ..End::default() });
@@ -362,12 +389,24 @@
         self.ends[end ^ 1].accepted
     }
 
-    /// The address that an end's peer seems to have.
+    /// The address that front ends and proxies have.
     #[must_use]
     pub fn address(&self) -> IpAddr {
         IpAddr::V4(Ipv4Addr::LOCALHOST)
     }
 
+    /// When the queue of an address was last full.
+    #[must_use]
+    pub fn full_at(&self, address: SocketAddr) -> Micros {
+        self.full_at.get(&address).copied().unwrap_or(0)
+    }
+
+    /// The address of the peer of an end that was accepted.
+    #[must_use]
+    pub fn address_of(&self, end: EndId) -> IpAddr {
+        self.froms.get(&(end ^ 1)).copied().unwrap_or_else(|| self.address())
+    }
+
     /// Takes note of what passed; returns who is to be told.
     pub fn pass(&mut self, event: NetEvent) -> Option<Told> {
         match event {
@@ -376,6 +415,9 @@
                 let doors = self.doors.get(&to).map_or(0, Vec::len);
                 let which = if doors > 1 { self.random.random_range(0..doors) } else { 0 };
                 let door = self.doors.get_mut(&to).and_then(|doors| doors.get_mut(which));
+                if door.as_ref().is_some_and(|door| door.backlog.len() >= BACKLOG) {
+                    self.full_at.insert(to, self.now);
+                }
                 match door.filter(|door| door.backlog.len() < BACKLOG) {
                     Some(door) if !self.ends[end].gone => {
                         door.backlog.push_back(end ^ 1);
--- a/crates/rig/src/plan.rs
+++ b/crates/rig/src/plan.rs
@@ -78,6 +78,14 @@
     Spoilt(u32),
     /// A matcher is told to leave, and its successor has other settings.
     Renew,
+    /// Connections come from so many addresses other than the front ends', so many of them, each with a health check,
+    /// and stay.
+    Flood {
+        /// Addresses.
+        sources: u32,
+        /// Connections.
+        number: usize,
+    },
 }
 
 impl Fault {
@@ -109,6 +117,7 @@
             Self::Upgrade(_) => "upgrades asked for",
             Self::Torn => "torn snapshots asked for",
             Self::OperatorCrowd(_) => "silent crowd at the operators' address",
+            Self::Flood { .. } => "flood from many addresses",
         }
     }
 }
@@ -156,6 +165,8 @@
     pub window: Micros,
     /// The faults.
     pub faults: Vec<Planned>,
+    /// Matchers decide who gets a place, and know the front ends' address by name.
+    pub admission: bool,
 }
 
 impl Plan {
@@ -177,6 +188,7 @@
             partial: random.random(),
             window: 60 * SECOND,
             faults: Vec::new(),
+            admission: false,
         };
         // A swarm: each seed has a set of its own, so that no fault hides what another would show.
         for kind in 0..KINDS {
@@ -191,6 +203,20 @@
         if random.random_range(0..3) == 0 {
             plan.combine(&mut random);
         }
+        // Drawn apart, so that what every other seed stands for stays as it was.
+        let mut more = SmallRng::seed_from_u64(seed ^ 0xF100_D5EE);
+        plan.admission = more.random_range(0..3) == 0;
+        // Without decisions on places a flood that speaks and stays takes them all, and the door turns the next away,
+        // whoever they are: that is what they are for.
+        if plan.admission && more.random_range(0..2) == 0 {
+            for _ in 0..more.random_range(1..3) {
+                let at = more.random_range(SECOND / 2..asks);
+                let sources = *[1, 3, 50, 5_000].choose(&mut more).unwrap_or(&1);
+                let fault = Fault::Flood { sources, number: more.random_range(50..1_500) };
+                let (lasts, matcher) = (more.random_range(200..3_000) * MS, more.random_range(0..matchers));
+                plan.faults.push(Planned { at, lasts, matcher, fault });
+            }
+        }
         plan.faults.sort_by_key(|planned| planned.at);
         plan
     }
--- a/crates/rig/src/rules.rs
+++ b/crates/rig/src/rules.rs
@@ -264,6 +264,10 @@
                 let machine = &sim.machines[m];
                 let since = machine.ended_at.max(machine.killed_at);
                 let stays = machine.procs.len() > 1 && sim.clock() > since + 2 * CROSSING;
+                // A machine that stood still while a flood came has a full queue.
+                let full =
+                    sim.net.borrow().full_at(machine.frames).max(sim.net.borrow().full_at(machine.ajp));
+                let stays = stays && sim.clock() > full + CROSSING;
                 if stays && machine.left_at.is_none() {
                     self.wrong(sim, format!("{id:016x} was refused at m{m}'s door in an upgrade"));
                 }
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -4,9 +4,10 @@
 use cleatpulley_policy::interface::Micros;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token};
+use socket2::{Domain, SockAddr, Socket, Type};
 use std::collections::HashMap;
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -247,6 +248,10 @@
                 Ok(stream) => self.add(place, link, stream, false).is_none().then_some(link),
                 Err(_) => Some(link),
             },
+            Effect::DialFrom(link, address, from) => match dial_from(address, from) {
+                Ok(stream) => self.add(place, link, stream, false).is_none().then_some(link),
+                Err(_) => Some(link),
+            },
         }
     }
 
@@ -343,3 +348,15 @@
     wire.sent = 0;
     Ok(())
 }
+
+/// A connection from one of the host's loopback addresses.
+fn dial_from(to: SocketAddr, from: IpAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(to), Type::STREAM, None)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&SockAddr::from(SocketAddr::new(from, 0)))?;
+    match socket.connect(&SockAddr::from(to)) {
+        // A connection without waiting is on its way.
+        Err(e) if e.raw_os_error() != Some(rustix::io::Errno::INPROGRESS.raw_os_error()) => Err(e),
+        _ => Ok(TcpStream::from_std(std::net::TcpStream::from(socket))),
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -38,6 +38,8 @@
     Reset(Link),
     /// Open a connection; the service chose an odd number for it.
     Dial(Link, SocketAddr),
+    /// The same, from this address of the host's.
+    DialFrom(Link, SocketAddr, std::net::IpAddr),
 }
 
 /// A party as a state machine.
--- a/crates/standin/src/matcher.rs
+++ b/crates/standin/src/matcher.rs
@@ -1,6 +1,6 @@
 //! A matcher as a child process: started with a configuration and an operator file, watched through its log.
 
-use rustix::process::{kill_process, Pid, Signal};
+use rustix::process::{kill_process, prlimit, Pid, Resource, Rlimit, Signal};
 use serde_json::Value;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -194,6 +194,17 @@
         })
     }
 
+    /// Lets it have no more descriptors than that from now on, whatever it was told.
+    ///
+    /// # Errors
+    /// Where the system refuses.
+    pub fn limit_descriptors(&self, most: usize) -> io::Result<()> {
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        let limit = Rlimit { current: Some(most as u64), maximum: Some(most as u64) };
+        prlimit(pid, Resource::Nofile, limit)?;
+        Ok(())
+    }
+
     /// Its log so far.
     #[must_use]
     pub fn log(&self) -> Vec<String> {
--- a/src/tools/seeds.rs
+++ b/src/tools/seeds.rs
@@ -116,14 +116,15 @@
 
 fn describe(plan: &Plan) {
     say!(
-        "seed {}: {} matchers of {} cores, {:.0}% load for {:.1} s, {} descriptors{}",
+        "seed {}: {} matchers of {} cores, {:.0}% load for {:.1} s, {} descriptors{}{}",
         plan.seed,
         plan.matchers,
         plan.cores,
         plan.load * 100.0,
         plan.asks as f64 / 1e6,
         plan.sockets,
-        if plan.partial { ", reads and writes cut short" } else { "" }
+        if plan.partial { ", reads and writes cut short" } else { "" },
+        if plan.admission { ", places decided, the front ends' address named" } else { "" }
     );
     for (n, habit) in plan.habits.iter().enumerate() {
         say!("  front end {n}: {habit:?}");
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -43,3 +43,37 @@
     assert!(figures("refused_as_full") > 0 && figures("admitted") > 50);
     assert!(matcher.descriptors().is_none_or(|held| held <= 256), "{:?}", matcher.descriptors());
 }
+
+/// The system lets the process have far fewer descriptors than it was told, and strangers hold all that are left: with the
+/// one that is kept for that, a named caller is let in at a stranger's cost, calls to the store find theirs, and nothing spins.
+#[test]
+fn a_named_caller_gets_in_where_no_descriptor_is_left() {
+    let site = Site::start(Setup { sockets: 512, instant: true, ..Setup::default() }).expect("a site");
+    let section = "admission: { named: ['127.0.0.1'], reserve: 0.1 }";
+    let matcher =
+        Matcher::start(&program(), &site.config, Some(&site.operator("", section))).expect("it starts");
+    let held = matcher.descriptors().expect("the system tells");
+    let most = held + 40;
+    matcher.limit_descriptors(most).expect("a lower limit");
+    let flood = Flood { to: matcher.frames, sources: 100, per_second: 2_000, hold: 300, speaks: true };
+    let (over, opened) = (AtomicBool::new(false), AtomicU64::new(0));
+    std::thread::scope(|scope| {
+        scope.spawn(|| flood.run(&over, &opened));
+        let begun = Instant::now();
+        while matcher.descriptors() < Some(most) && begun.elapsed() < Duration::from_secs(10) {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        let before = matcher.cpu().expect("the system tells");
+        let begun = Instant::now();
+        for n in 0..50 {
+            let wait = knock(matcher.frames, Duration::from_secs(5));
+            assert!(wait.is_some(), "the {n}th time; {} were opened", opened.load(Ordering::Relaxed));
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        let used = matcher.cpu().expect("the system tells") - before;
+        assert!(used < begun.elapsed().as_micros() as u64 / 2, "{used} us of CPU in {:?}", begun.elapsed());
+        over.store(true, Ordering::Relaxed);
+    });
+    assert!(!matcher.log().iter().any(|line| line.contains("no connection accepted")), "{:?}", matcher.log());
+    assert!(matcher.descriptors() <= Some(most));
+}
