Keep earned standing across restarts and play floods of strangers in the emulator

What is earned goes to a small store (admission::book) that a thread serves: batches, faded by the time that passed, tried again while a predecessor has it. The emulator has strangers with addresses, floods within drains, upgrades and shortages of descriptors, and a judge that reads the callers' books alone. It found two faults, mended here: a heavy prefix that owes answers everywhere shielded those only a little lighter, and one known caller without a place held up the accepting of everybody else.

--- a/crates/admission/src/admit.rs
+++ b/crates/admission/src/admit.rs
@@ -1,9 +1,11 @@
 //! The decisions: who gets a place, and whose it was.
 
+use crate::book;
 use crate::net::{key, Net};
 use crate::rate::{Look, Rate, Rates};
 use crate::standing::{Earned, Standing};
 use cleatpulley_policy::interface::Micros;
+use cleatpulley_policy::plant::{planted, Bug};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::IpAddr;
 
@@ -253,6 +255,7 @@
         let own = looked(&self.address_rates, &Net::of(address, 128));
         let of_prefix = looked(&self.prefix_rates, &prefix);
         let room = |rates: &Option<Rates>, look: &Option<Look>| match (rates, look) {
+            _ if planted(Bug::RateUncounted) => true,
             (Some(rates), Some(look)) => rates.has_room(look),
             _ => true,
         };
@@ -286,8 +289,8 @@
 
     /// Whose place goes to the one that came. A known caller takes an unknown one's, the silent longest first, and where no
     /// unknown one can go, that of who is known no better and has said nothing for long: a caller that is named and holds
-    /// connections without a word would else keep the others out. Among the unknown the heaviest prefix gives to a lighter
-    /// one, and in it the heaviest address; where none is heavier, who has said nothing for long gives way.
+    /// connections without a word would else keep the others out. Among the unknown the heaviest prefix that can gives to a
+    /// lighter one, and in it the heaviest address; where none is heavier, who has said nothing for long gives way.
     fn victim(
         &self,
         now: Micros,
@@ -297,8 +300,10 @@
         spare: impl Fn(u64) -> bool,
     ) -> Option<u64> {
         let silent = self.silent_longest(now, Known::Unknown);
-        let heaviest = self.weights.last().copied();
         if known != Known::Unknown {
+            if planted(Bug::StrangerStays) {
+                return None;
+            }
             // Whoever owes nothing, from the heaviest prefix on.
             let spared = || {
                 self.weights.iter().rev().find_map(|(_, prefix)| self.lightest_loss(*prefix, None, &spare))
@@ -309,11 +314,11 @@
         let own = self.groups.get(&prefix);
         let (own_prefix, own_address) =
             own.map_or((0, 0), |group| (group.count, group.addresses.get(&address).map_or(0, BTreeSet::len)));
-        if let Some((count, heavy)) = heaviest.filter(|(count, _)| own_prefix + 1 < *count) {
-            debug_assert!(count > 1);
-            if let Some(number) = self.lightest_loss(heavy, None, &spare) {
-                return Some(number);
-            }
+        // Where all of the heaviest owe answers, the next gives.
+        let heavier = self.weights.iter().rev().take_while(|(count, _)| own_prefix + 1 < *count);
+        let mut heavier = heavier.filter(|_| !planted(Bug::ShareStuck));
+        if let Some(number) = heavier.find_map(|(_, heavy)| self.lightest_loss(*heavy, None, &spare)) {
+            return Some(number);
         }
         // Within its own prefix the same holds of addresses.
         if let Some(number) = own.and_then(|_| self.lightest_loss(prefix, Some(own_address + 1), &spare)) {
@@ -425,6 +430,23 @@
         self.standing.as_ref().map_or_else(Vec::new, |standing| standing.export(now))
     }
 
+    /// What of it is to be written to the book since this was last asked.
+    pub fn moved(&mut self, now: Micros) -> Vec<book::Entry> {
+        self.standing.as_mut().map_or_else(Vec::new, |standing| standing.moved(now))
+    }
+
+    /// Takes up what the book had.
+    pub fn remember(&mut self, now: Micros, entries: &[book::Entry]) {
+        if planted(Bug::StandingForgotten) {
+            return;
+        }
+        let (four, six) = self.settings.bits;
+        if let Some(standing) = &mut self.standing {
+            let prefix = |address: IpAddr| Net::of(address, if address.is_ipv4() { four } else { six });
+            standing.remember(now, entries, prefix);
+        }
+    }
+
     /// Takes up what was kept of it.
     pub fn import(&mut self, now: Micros, kept: &[(IpAddr, f64)]) {
         let (four, six) = self.settings.bits;
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! - [`rate`]: how many connections a second an address and its prefix open, in memory of a fixed size.
 //! - [`standing`]: who has earned to be known, by whole requests answered over time.
+//! - [`book`]: that standing in an embedded store, across restarts.
 //! - [`admit`]: who gets a place, and whose it was.
 //! - [`handshake`]: which TLS handshakes run, and when.
 //! - [`identity`]: callers known by a certificate's names, and their caps.
@@ -12,6 +13,7 @@
 #![warn(missing_docs)]
 
 pub mod admit;
+pub mod book;
 pub mod handshake;
 pub mod identity;
 pub mod net;
--- a/crates/admission/tests/admit.rs
+++ b/crates/admission/tests/admit.rs
@@ -149,6 +149,23 @@
     assert_eq!(front.come("10.5.0.1"), Err(Why::Full), "nor for one who has earned it");
 }
 
+/// Guards against a heavy prefix whose callers all owe answers, and that would shield those only a little lighter.
+#[test]
+fn where_the_heaviest_owe_answers_the_next_give() {
+    let mut front = Front::new(Settings { reserve: 0.0, ..settings() }, 9);
+    for _ in 0..5 {
+        let number = front.come("10.1.1.1").expect("room");
+        front.ask(number);
+    }
+    for _ in 0..4 {
+        let number = front.come("10.2.2.2").expect("room");
+        front.ask(number);
+        front.answer(number);
+    }
+    assert!(front.come("10.3.3.3").is_ok());
+    assert_eq!((front.of("10.1.1.0/24"), front.of("10.2.2.0/24")), (5, 3));
+}
+
 #[test]
 fn equals_wait_for_each_others_silence() {
     let mut front = Front::new(Settings { reserve: 0.0, ..settings() }, 2);
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -602,7 +602,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use cleatpulley_matcher::world::{Keeper, Meeting, Passage, Stream};
+    use cleatpulley_admission::book::Entry;
+    use cleatpulley_matcher::world::{Keeper, Meeting, Passage, Standings, Stream};
     use cleatpulley_policy::interface::RequestId;
     use cleatpulley_results::record::ScopedKey;
     use std::cell::{Cell, RefCell};
@@ -629,6 +630,12 @@
         fn stop(self) {}
     }
 
+    impl Standings for NoKeeper {
+        fn write(&self, _: Vec<Entry>) {}
+        fn release(&mut self) {}
+        fn stop(self) {}
+    }
+
     /// Nobody is met in these tests.
     struct Nobody;
 
@@ -680,6 +687,7 @@
         type Keeper = NoKeeper;
         type Post = ();
         type Spare = ();
+        type Standings = NoKeeper;
         type Passage = Nobody;
 
         fn spare(&self) -> io::Result<()> {
@@ -722,6 +730,10 @@
             Ok(self.clone())
         }
 
+        fn standings(&self, _: PathBuf, _: usize) -> io::Result<NoKeeper> {
+            Err(ErrorKind::Unsupported.into())
+        }
+
         fn keeper(&self, _: PathBuf, _: u64) -> io::Result<NoKeeper> {
             Err(ErrorKind::Unsupported.into())
         }
--- a/crates/matcher/src/front.rs
+++ b/crates/matcher/src/front.rs
@@ -541,6 +541,7 @@
     }
 
     fn sweep(&mut self, now: Micros) {
+        self.keep_spare();
         if self.yielding {
             self.send_away(now);
         }
--- a/crates/matcher/src/front/accept.rs
+++ b/crates/matcher/src/front/accept.rs
@@ -46,8 +46,13 @@
 
     fn accept_at_door(&mut self, place: usize, now: Micros, facts: &mut Vec<Fact>) {
         // Those that got no place and are still held have been read since the turn in which they came: where none can go,
-        // all of them owe an answer.
+        // all of them owe an answer. Strangers are closed unread then; a known caller is held beyond the others, and while
+        // one is, whoever comes waits with the system.
         let stuck = self.refused >= self.held() && !self.forget_refused(facts);
+        if stuck && self.refused > self.held() {
+            self.accept_at = now + REFUSED_PAUSE;
+            return;
+        }
         for _ in 0..ACCEPTS {
             if !self.doors[place].acceptable {
                 return;
@@ -71,7 +76,7 @@
             };
             let mut short = false;
             let mut accepted = self.world.accept(listener, Party::Front(number));
-            if accepted.as_ref().is_err_and(|e| !is_passing(e)) && self.spare.take().is_some() {
+            if accepted.as_ref().is_err_and(|e| !is_passing(e)) && give_up(self.spare.take()) {
                 // The descriptor that is kept for that: who waits is known or not, and only accepting tells. The system says
                 // that it has none also where nobody waits.
                 short = true;
@@ -102,12 +107,11 @@
             };
             let caller = Caller { address, short };
             self.numbers = number;
-            let goes_on = self.let_in(place, now, Conn::new(stream), &caller, stuck, facts);
+            self.let_in(place, now, Conn::new(stream), &caller, stuck, facts);
             if caller.short {
                 self.keep_spare();
             }
-            if !goes_on {
-                self.accept_at = now + REFUSED_PAUSE;
+            if self.refused > self.held() {
                 return;
             }
         }
@@ -120,8 +124,7 @@
         }
     }
 
-    /// Gives a connection its place, or turns it away; false where no more can be turned away at the moment. `stuck` tells
-    /// that those turned away before all owe an answer.
+    /// Gives a connection its place, or turns it away. `stuck` tells that those turned away before all owe an answer.
     fn let_in(
         &mut self,
         place: usize,
@@ -130,7 +133,7 @@
         caller: &Caller,
         stuck: bool,
         facts: &mut Vec<Fact>,
-    ) -> bool {
+    ) {
         let number = self.numbers;
         let mut machine = self.doors[place].speaks.machine(now, caller.address);
         let secure = self.doors[place].secure;
@@ -156,21 +159,19 @@
                     machine.part(&context, conn.output());
                 }
                 self.peers.insert(number, Peer { conn, machine, lingers: None, known, names, over: false });
-                true
             }
             // Nothing can be asked before a handshake: the alert is all.
             Err(_) if secure => {
                 conn.output().extend_from_slice(&BUSY_ALERT);
                 say_at_once(&mut conn);
-                true
             }
             Err(known) => {
                 // A word where the protocol has one.
                 machine.part(&context, conn.output());
-                if caller.short || (stuck && known == Known::Unknown) {
-                    // Nothing of it was read: what it asks has failed, and is not turned away.
-                    say_at_once(&mut conn);
-                    return true;
+                if (caller.short || stuck) && known == Known::Unknown {
+                    // Nothing of it was read: what it asks has failed, and is not turned away. For a known caller the spare
+                    // descriptor is worth having.
+                    return say_at_once(&mut conn);
                 }
                 // What came with the connection is read and answered, for closing over it would lose it, and a keyed request
                 // among it may have run before.
@@ -178,7 +179,6 @@
                 self.peers.insert(number, Peer { conn, machine, lingers: None, known, names, over: true });
                 self.refused += 1;
                 self.noted.push(number);
-                !stuck
             }
         }
     }
@@ -228,6 +228,15 @@
     }
 }
 
+/// Frees the descriptor that was kept; false where there was none.
+fn give_up<S>(spare: Option<S>) -> bool {
+    let kept = spare.is_some();
+    if planted(Bug::SpareLeaked) {
+        std::mem::forget(spare);
+    }
+    kept
+}
+
 /// Nothing is short: nobody waits, or whoever waited is gone.
 fn is_passing(e: &io::Error) -> bool {
     matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted | ErrorKind::ConnectionAborted)
--- a/crates/matcher/src/handover.rs
+++ b/crates/matcher/src/handover.rs
@@ -63,6 +63,7 @@
             upgrade::Step::Serve => {
                 tracing::info!("upgrade: takes clients");
                 self.front.resume();
+                self.open_standings();
                 let first = self.front.listeners().next();
                 if let Some((address, _)) = first {
                     upgrade.post(address);
@@ -101,6 +102,7 @@
                 self.yielded = Some((now, false));
                 self.front.give_way(now);
                 self.share_descriptors(now);
+                self.release_standings(now);
                 let site = snapshot::site(&self.name, &self.class_names);
                 let standing =
                     self.front.admission().map_or_else(Vec::new, |admission| admission.export(now));
@@ -113,6 +115,7 @@
                     self.open_store();
                 }
                 self.front.resume();
+                self.open_standings();
                 self.share_descriptors(now);
                 if std::mem::take(&mut self.succeeded) {
                     tracing::error!("upgrade: the successor is gone, and this process leaves as well");
--- a/crates/matcher/src/lib.rs
+++ b/crates/matcher/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod report;
 pub mod runtime;
 pub mod secure;
+pub mod standings;
 pub mod store;
 pub mod upgrade;
 pub mod world;
@@ -29,11 +30,12 @@
 use cleatpulley_protocol::{ajp, mgmt};
 use cleatpulley_upgrade::Held;
 use std::cell::RefCell;
+use std::fmt;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::rc::Rc;
-use world::{Keeper, Meeting, Readiness, World};
+use world::{Keeper, Meeting, Readiness, Standings as _, World};
 
 /// Descriptors that are neither a front end's nor the store's: the loop's own, the listener, the link, the
 /// directory, the log, and some to spare.
@@ -143,6 +145,8 @@
     pub results: Option<Results>,
     /// Who gets a place, where that is not first come, first served.
     pub admission: Option<Admitting>,
+    /// The folder that earned standing is kept in, where it is.
+    pub standings: Option<PathBuf>,
     /// TLS, where it is spoken.
     pub tls: Option<secure::TlsFront>,
 }
@@ -165,6 +169,19 @@
     pub calls: usize,
     /// Listeners, connections, the pool, the links, and what is kept for later.
     pub descriptors: usize,
+    /// Of them, connections of the client side.
+    pub connections: usize,
+    /// And to the store.
+    pub pool: usize,
+    /// And of operators, with their listening socket.
+    pub asked: usize,
+}
+
+impl fmt::Display for Census {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { descriptors, connections, pool, asked, .. } = self;
+        write!(f, "{descriptors}: {connections} connections, {pool} to the store, {asked} of operators")
+    }
 }
 
 /// A matcher in its world.
@@ -183,6 +200,10 @@
     keeper: Option<W::Keeper>,
     /// The folder and the bounds of what is kept.
     kept_in: Option<(PathBuf, Bounds)>,
+    /// Earned standing, where it is kept, for how many addresses, and when it is written next.
+    standings: Option<W::Standings>,
+    standings_in: Option<(PathBuf, usize)>,
+    standings_at: Micros,
     /// Since when a successor takes clients, and whether it has the store of results.
     yielded: Option<(Micros, bool)>,
     facts: Vec<Fact>,
@@ -220,6 +241,8 @@
         let asked = options.mgmt.map_or(0, |_| operators::PLACES + 1);
         let most = options.sockets.saturating_sub(SPARE + calls + asked).max(1);
         let mut front = front::Front::new(world.clone(), options.class_names.clone(), most);
+        let earned = options.admission.as_ref().and_then(|admission| admission.earned);
+        let standings_in = options.standings.zip(earned).map(|(folder, earned)| (folder, earned.most));
         if let Some(settings) = options.admission {
             front.set_admission(Admission::new(settings, world.now()));
         }
@@ -293,7 +316,7 @@
         };
         let Parties { runtime, store, lookup } = options.parties;
         let (classes, gauges) = (options.class_names, options.gauge_names);
-        Ok(Self {
+        let mut node = Self {
             reload,
             stop: options.stop,
             exchange,
@@ -306,6 +329,9 @@
             directory: directory::Directory::new(world.clone(), lookup, &options.name),
             keeper,
             kept_in,
+            standings: None,
+            standings_in,
+            standings_at: 0,
             yielded: None,
             facts: Vec::new(),
             commands: Vec::new(),
@@ -322,7 +348,11 @@
             tls,
             warming,
             world,
-        })
+        };
+        if alone {
+            node.open_standings();
+        }
+        Ok(node)
     }
 
     /// The time in its world.
@@ -347,6 +377,9 @@
             open,
             calls,
             descriptors: listeners + connections + pool + links + asked + passes,
+            connections,
+            pool,
+            asked,
         }
     }
 
@@ -355,6 +388,10 @@
         if let Some(keeper) = self.keeper.take() {
             keeper.stop();
         }
+        self.write_standings(self.world.now());
+        if let Some(standings) = self.standings.take() {
+            standings.stop();
+        }
     }
 
     /// The event loop saw something on a connection.
@@ -466,6 +503,9 @@
         }
         self.exchange.advance(now, &mut self.commands);
         self.pass_store_on(now);
+        if self.standings.is_some() && now >= self.standings_at {
+            self.write_standings(now);
+        }
         for command in std::mem::take(&mut self.commands) {
             self.carry_out(now, command);
         }
--- a/crates/matcher/src/real.rs
+++ b/crates/matcher/src/real.rs
@@ -3,12 +3,14 @@
 use super::keeping::Keeping;
 use super::passage::{self, Passage, Passed};
 use super::report::{FleetLink, Reporter, Status};
+use super::standings::Standings;
 use super::world::{Meeting, Readiness, Stream, World};
 use super::{Node, Options, Party, Reload};
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::timer::{TimeoutAction, Timer};
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use cleatpulley_admission::book::Entry;
 use cleatpulley_exchange::Fact;
 use cleatpulley_policy::interface::Micros;
 use socket2::{Domain, Protocol, Socket, Type};
@@ -34,6 +36,9 @@
     /// The keeper of results has something to say.
     fn kept(&mut self, _: Fact) {}
 
+    /// The book of earned standing tells what it held.
+    fn remembered(&mut self, _: Vec<Entry>) {}
+
     /// The notice to leave.
     fn leave(&mut self);
 
@@ -74,6 +79,10 @@
         Self::kept(self, fact);
     }
 
+    fn remembered(&mut self, entries: Vec<Entry>) {
+        Self::remembered(self, &entries);
+    }
+
     fn leave(&mut self) {
         Self::leave(self);
     }
@@ -263,6 +272,7 @@
     type Stream = Connection;
     type Listener = Listener;
     type Keeper = Keeping;
+    type Standings = Standings;
     type Post = Post;
     type Spare = std::fs::File;
     type Passage = Passage;
@@ -342,6 +352,10 @@
         self.watch(socket.into(), party)
     }
 
+    fn standings(&self, folder: PathBuf, most: usize) -> io::Result<Standings> {
+        Standings::start(&self.handle, folder, most)
+    }
+
     fn keeper(&self, folder: PathBuf, seed: u64) -> io::Result<Keeping> {
         Keeping::start(&self.handle, folder, seed)
     }
--- a/crates/matcher/src/world.rs
+++ b/crates/matcher/src/world.rs
@@ -2,6 +2,7 @@
 //! world it is in. `real` has the one of calloop and std; a simulator brings another.
 
 use super::Party;
+use cleatpulley_admission::book::Entry;
 use cleatpulley_exchange::history::Effect;
 use cleatpulley_policy::interface::{Micros, RequestId};
 use cleatpulley_results::record::ScopedKey;
@@ -90,6 +91,18 @@
     fn stop(self);
 }
 
+/// Keeps earned standing, and tells [`Node::remembered`](super::Node::remembered) what it held.
+pub trait Standings {
+    /// Writes what was earned, in its own time.
+    fn write(&self, entries: Vec<Entry>);
+
+    /// Lets it write what it has and close the book, in its own time; nothing more is asked of it.
+    fn release(&mut self);
+
+    /// Waits until it has closed the book, for a while.
+    fn stop(self);
+}
+
 /// A matcher's host.
 pub trait World: Clone + 'static {
     /// A connection.
@@ -98,6 +111,8 @@
     type Listener;
     /// A keeper.
     type Keeper: Keeper;
+    /// A keeper of earned standing.
+    type Standings: Standings;
     /// Where successors come to; they may until it is dropped.
     type Post;
     /// A descriptor that is kept for later; it is free once this is dropped.
@@ -165,6 +180,12 @@
     /// Where there is none, and those of the system.
     fn visit(&self, meeting: &Meeting, party: Party) -> io::Result<Self::Passage>;
 
+    /// Opens the book of the earned standing of so many addresses.
+    ///
+    /// # Errors
+    /// Those of the system.
+    fn standings(&self, folder: PathBuf, most: usize) -> io::Result<Self::Standings>;
+
     /// Starts a keeper of results on a folder.
     ///
     /// # Errors
--- a/crates/policy/src/plant.rs
+++ b/crates/policy/src/plant.rs
@@ -53,10 +53,29 @@
     SucceededEarly,
     /// A snapshot is believed whatever its checksum.
     TornBelieved,
+    /// A known caller takes no stranger's place.
+    StrangerStays,
+    /// New connections of an address are not counted.
+    RateUncounted,
+    /// The heaviest prefix gives nothing to a lighter one.
+    ShareStuck,
+    /// The descriptor kept for a shortage is not given back.
+    SpareLeaked,
+    /// What was earned before a restart is not taken up.
+    StandingForgotten,
 }
 
 impl Bug {
-    /// All of them.
+    /// Those about places for connections, looked for among floods.
+    pub const PLACES: [Self; 5] = [
+        Self::StrangerStays,
+        Self::RateUncounted,
+        Self::ShareStuck,
+        Self::SpareLeaked,
+        Self::StandingForgotten,
+    ];
+
+    /// All others.
     pub const ALL: [Self; 23] = [
         Self::AnswerTwice,
         Self::PlaceLeaked,
--- a/crates/rig/src/faults.rs
+++ b/crates/rig/src/faults.rs
@@ -20,6 +20,7 @@
         if self.machines[m].left_at.is_some() {
             self.meet("fault within a drain");
         }
+        self.note_flood(m, planned.fault, ends);
         match planned.fault {
             Fault::Crash { down, runtime } => self.crash(m, down, runtime),
             Fault::Slow(factor) => self.machines[m].runtime.slowing = factor,
@@ -103,13 +104,35 @@
             }
             Fault::Flood { sources, number } => {
                 let to = self.machines[m].frames;
-                self.rude.flood(m, to, number, sources);
+                self.rude.flood(m, to, number, sources, (now, ends));
                 self.with_service(RUDE, |place, service| place.schedule(service));
             }
         }
         self.net.borrow_mut().queue.push(ends, Event::Undo(i));
     }
 
+    /// Takes note of floods that meet other troubles.
+    fn note_flood(&mut self, m: usize, fault: Fault, ends: Micros) {
+        let now = self.now();
+        let machine = &mut self.machines[m];
+        let (flooded, short) = &mut machine.crowded;
+        match fault {
+            Fault::Flood { .. } => *flooded = ends.max(*flooded),
+            Fault::Descriptors(_) => *short = ends.max(*short),
+            _ => {}
+        }
+        if now < *flooded && now < *short {
+            self.meet("flood while descriptors are short");
+        }
+        let (floods, machine) = (matches!(fault, Fault::Flood { .. }), &self.machines[m]);
+        if floods && machine.left_at.is_some() {
+            self.meet("flood within a drain");
+        }
+        if floods && self.machines[m].procs.len() > 1 {
+            self.meet("flood within an upgrade");
+        }
+    }
+
     pub(crate) fn undo(&mut self, i: usize) {
         let now = self.now();
         let planned = self.plan.faults[i];
--- a/crates/rig/src/front.rs
+++ b/crates/rig/src/front.rs
@@ -1,6 +1,7 @@
 //! Front ends with habits: they try again without limit or not, give up early, send copies, choose by subject, heed
 //! advice or not, carry keys or not, and speak frames or AJP. Their books are their own; rules are judged from them.
 
+use crate::crowd::Refused;
 use cleatpulley_policy::interface::Micros;
 use cleatpulley_protocol::ajp::client::{Client, Options, Request};
 use cleatpulley_protocol::ajp::codec::PACKET_SIZE;
@@ -99,6 +100,8 @@
     matcher: usize,
     up: bool,
     gone: bool,
+    /// Nothing has come on it yet.
+    fresh: bool,
     input: Vec<u8>,
     open: BTreeMap<u32, u64>,
     streams: u32,
@@ -156,6 +159,10 @@
     forgotten: HashSet<u64>,
     /// Tries whose connection was refused, and where, until that is judged.
     pub refused: Vec<(usize, u64)>,
+    /// Connections that were told to part before anything came of them, to be judged.
+    pub(crate) parted: Vec<Refused>,
+    /// All of those.
+    refused_links: HashSet<Link>,
     /// Connections that were broken on purpose.
     pub excused: HashSet<Link>,
     /// Asked, served and refused, tries and repeats among them.
@@ -198,6 +205,8 @@
             news: None,
             forgotten: HashSet::new(),
             refused: Vec::new(),
+            parted: Vec::new(),
+            refused_links: HashSet::new(),
             excused: HashSet::new(),
             counts: [0; 5],
         }
@@ -224,6 +233,11 @@
         }
     }
 
+    /// This connection was told to part before anything came of it.
+    pub(crate) fn was_refused(&self, link: Link) -> bool {
+        self.refused_links.contains(&link)
+    }
+
     /// Connections to a matcher.
     #[must_use]
     pub fn links(&self, matcher: usize) -> Vec<Link> {
@@ -352,7 +366,8 @@
                 self.links += 2;
                 out.push(Effect::Dial(self.links, self.matchers[matcher].0));
                 let (input, waiting, open) = (Vec::new(), Vec::new(), BTreeMap::new());
-                let line = Line { matcher, up: false, gone: false, input, open, streams: 0, waiting };
+                let line =
+                    Line { matcher, up: false, gone: false, fresh: true, input, open, streams: 0, waiting };
                 self.lines.insert(self.links, line);
                 self.links
             }
@@ -506,8 +521,14 @@
     fn frames_came(&mut self, now: Micros, link: Link, bytes: &[u8], out: &mut Vec<Effect>) {
         let Some(line) = self.lines.get_mut(&link) else { return };
         line.input.extend_from_slice(bytes);
+        let gone = line.gone;
         let (answers, stray) = read_answers(&mut line.input, &mut line.open, &mut line.gone);
         self.stray += stray;
+        if line.gone && !gone && line.fresh {
+            self.parted.push(Refused { matcher: line.matcher, at: now, probe: false });
+            self.refused_links.insert(link);
+        }
+        line.fresh &= answers.is_empty() && !line.gone;
         if line.gone && line.open.is_empty() {
             self.lines.remove(&link);
             out.push(Effect::Close(link));
--- a/crates/rig/src/host.rs
+++ b/crates/rig/src/host.rs
@@ -2,6 +2,7 @@
 
 use crate::hall::{Hall, VirtualPassage, VirtualPassed, VirtualPost};
 use crate::net::{EndId, Net, NetEvent};
+use crate::shelf::{Shelf, VirtualStandings};
 use cleatpulley_exchange::history::Effect;
 use cleatpulley_exchange::Fact;
 use cleatpulley_keep::memory::Memory;
@@ -31,6 +32,8 @@
     Service(usize),
     /// A matcher's keeper of this life has something to do.
     Keeper(usize, u64),
+    /// Its book of earned standing has.
+    Shelf(usize, u64),
     /// A fault begins.
     Fault(usize),
     /// A fault ends.
@@ -190,6 +193,8 @@
     pub process: usize,
     /// Its keeper.
     pub desk: Rc<RefCell<Desk>>,
+    /// Its book of earned standing.
+    pub shelf: Rc<RefCell<Shelf>>,
 }
 
 /// A connection.
@@ -303,6 +308,7 @@
     type Keeper = VirtualKeeper;
     type Post = VirtualPost;
     type Spare = VirtualSpare;
+    type Standings = VirtualStandings;
     type Passage = VirtualPassage;
 
     fn spare(&self) -> io::Result<VirtualSpare> {
@@ -310,6 +316,10 @@
         Ok(VirtualSpare { net: Rc::clone(&self.net), process: self.process })
     }
 
+    fn standings(&self, _: PathBuf, most: usize) -> io::Result<VirtualStandings> {
+        Ok(VirtualStandings::new(self, most))
+    }
+
     fn is_taken(&self, address: SocketAddr) -> bool {
         self.net.borrow().listeners(address) > 0
     }
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod crowd;
 mod faults;
 pub mod front;
 pub mod hall;
@@ -19,4 +20,5 @@
 mod rude;
 mod rules;
 pub mod seeds;
+mod shelf;
 pub mod sim;
--- a/crates/rig/src/seeds.rs
+++ b/crates/rig/src/seeds.rs
@@ -38,8 +38,10 @@
     pub digest: u64,
 }
 
-/// Plays seeds on so many threads; `prepare` runs once on each of them. With `first` it stops at a failure.
+/// Plays seeds on so many threads, each with what `of` makes of it; `prepare` runs once on each of them. With `first` it
+/// stops at a failure.
 pub fn run(
+    of: impl Fn(u64) -> Plan + Sync,
     from: u64,
     number: u64,
     jobs: usize,
@@ -59,7 +61,7 @@
                     if place >= number {
                         break;
                     }
-                    let outcome = play(Plan::of(from + place));
+                    let outcome = play(of(from + place));
                     if first && !outcome.broken.is_empty() {
                         over.store(true, Ordering::Relaxed);
                     }
--- a/crates/rig/src/sim.rs
+++ b/crates/rig/src/sim.rs
@@ -306,6 +306,10 @@
                 self.keep(m, life);
                 4 << 32 | m as u64
             }
+            Event::Shelf(m, life) => {
+                self.shelve(m, life);
+                11 << 32 | m as u64
+            }
             Event::Fault(i) => {
                 self.strike(i);
                 5 << 32 | i as u64
--- a/src/config.rs
+++ b/src/config.rs
@@ -120,6 +120,7 @@
             admission: operator
                 .admission
                 .map(|settings| cleatpulley_admission::Settings { seed: self.seed, ..settings }),
+            standings: operator.standings,
             tls: operator.tls,
         }
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -205,7 +205,10 @@
     // Simulated matchers would log as if they were real.
     let quiet = matches!(
         cli.command,
-        Command::Seeds(_) | Command::Check(tools::bench::Check::Seeds | tools::bench::Check::Service)
+        Command::Seeds(_)
+            | Command::Check(
+                tools::bench::Check::Seeds | tools::bench::Check::Service | tools::bench::Check::Admission
+            )
     );
     log_to_standard_error(cli.log, quiet);
     match run(cli.command) {
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -70,6 +70,8 @@
     pub results: Option<Results>,
     /// Who gets a place.
     pub admission: Option<cleatpulley_admission::Settings>,
+    /// The folder that earned standing is kept in.
+    pub standings: Option<PathBuf>,
     /// TLS on the fronts.
     pub tls: Option<cleatpulley_matcher::secure::TlsFront>,
     /// The names of the classes, for what is shown.
@@ -234,11 +236,15 @@
         })?;
         let ajp = file.ajp.map(|section| section.check(config, folder)).transpose()?;
         let ajp_key = ajp.as_ref().is_some_and(|ajp| ajp.settings.figures.key.is_some());
+        let admission = file.admission.map(|section| section.check(&config.name, folder)).transpose()?;
+        let (admission, standings) =
+            admission.map_or((None, None), |(admission, kept)| (Some(admission), kept));
         let operator = Self {
             ajp,
             store: file.store.map(StoreSection::check).transpose()?.unwrap_or_default(),
             results: file.results.map(|section| section.check(config, ajp_key)).transpose()?,
-            admission: file.admission.map(admission::AdmissionSection::check).transpose()?,
+            admission,
+            standings,
             tls: file.tls.map(|section| section.check(config, folder)).transpose()?,
             class_names: config.class_names.clone(),
         };
@@ -556,7 +562,7 @@
         write!(f, "store: called over {speaks}")?;
         if let Some(settings) = &self.admission {
             writeln!(f)?;
-            admission::show(settings, f)?;
+            admission::show(settings, self.standings.as_deref(), f)?;
         }
         if let Some(results) = &self.results {
             writeln!(f)?;
--- a/src/operator/admission.rs
+++ b/src/operator/admission.rs
@@ -8,6 +8,7 @@
 use cleatpulley_admission::Settings;
 use serde::Deserialize;
 use std::fmt;
+use std::path::{Path, PathBuf};
 
 const SECOND: u64 = 1_000_000;
 /// Cells of each row of the counts of new connections: a megabyte for addresses, and an eighth of that for prefixes. Twice
@@ -50,6 +51,8 @@
     most: usize,
     #[serde(default = "of_prefix")]
     of_prefix: usize,
+    #[serde(default)]
+    folder: Option<String>,
 }
 
 fn reserve() -> f64 {
@@ -104,7 +107,8 @@
 }
 
 impl AdmissionSection {
-    pub(super) fn check(self) -> Result<Settings, Wrong> {
+    /// The settings, and the folder that earned standing is kept in: each matcher has one of its own there, by its name.
+    pub(super) fn check(self, name: &str, beside: &Path) -> Result<(Settings, Option<PathBuf>), Wrong> {
         let mut named = Vec::new();
         for (i, text) in self.named.iter().enumerate() {
             match text.parse::<Net>() {
@@ -120,6 +124,8 @@
             let what = format!("{four} and {six} are not within 8 to 32 and 16 to 128");
             return wrong("admission.prefix_bits", what);
         }
+        let kept = self.earned.as_ref().and_then(|earned| earned.folder.as_deref());
+        let folder = kept.map(|text| folder_of(text, name, beside)).transpose()?;
         let earned = match self.earned {
             None => None,
             Some(earned) => {
@@ -142,7 +148,7 @@
                 })
             }
         };
-        Ok(Settings {
+        let settings = Settings {
             named,
             reserve: self.reserve,
             address: self.address.check("address")?,
@@ -151,11 +157,26 @@
             earned,
             width: WIDTH,
             seed: 0,
-        })
+        };
+        Ok((settings, folder))
     }
 }
 
-pub(super) fn show(settings: &Settings, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+/// Guards against a name that leads elsewhere, and against two matchers with one folder.
+fn folder_of(text: &str, name: &str, beside: &Path) -> Result<PathBuf, Wrong> {
+    if text.is_empty() {
+        return wrong("admission.earned.folder", "it names no folder");
+    }
+    let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | '-');
+    if name.is_empty() || name.starts_with('.') || !name.chars().all(plain) {
+        let what =
+            format!("the matcher's name {name:?} can be no folder's: letters, digits, '.', '_' and '-' can");
+        return wrong("admission.earned.folder", what);
+    }
+    Ok(beside.join(text).join(name))
+}
+
+pub(super) fn show(settings: &Settings, folder: Option<&Path>, f: &mut fmt::Formatter<'_>) -> fmt::Result {
     let cap = |cap: &Cap| {
         let places =
             cap.places.map_or("any number of places".to_owned(), |places| format!("{places} places"));
@@ -179,5 +200,10 @@
             earned.most,
             earned.of_prefix
         )),
-    )
+    )?;
+    match (settings.earned, folder) {
+        (Some(_), Some(folder)) => write!(f, ", kept in {}", folder.display()),
+        (Some(_), None) => write!(f, ", forgotten at a restart"),
+        (None, _) => Ok(()),
+    }
 }
--- a/src/tools/bench_admission.rs
+++ b/src/tools/bench_admission.rs
@@ -36,6 +36,7 @@
     let mut short = Vec::new();
     decisions(&mut short);
     floods(program, &mut short).map_err(|e| format!("floods: {e}"))?;
+    super::bench_places::run(&mut short);
     super::bench_tls::run(program, &mut short).map_err(|e| format!("tls: {e}"))?;
     Ok(short)
 }
--- /dev/null
+++ b/src/tools/bench_places.rs
@@ -0,0 +1,67 @@
+//! The part of `cleatpulley check admission` that is played in the emulator: floods, restarts and shortages from seeds, and
+//! planted bugs.
+
+use super::seeds::cores;
+use cleatpulley::policy::plant::{plant, Bug};
+use cleatpulley_rig::plan::Plan;
+use cleatpulley_rig::seeds;
+use std::time::Instant;
+
+/// Seeds that are to break no rule.
+const SEEDS: u64 = 200;
+/// A planted bug has to be found within so many.
+const WITHIN: u64 = 300;
+/// Each has to be met.
+const HARD: [&str; 4] = [
+    "flood within a drain",
+    "flood within an upgrade",
+    "flood while descriptors are short",
+    "a known caller comes back after a restart within a flood",
+];
+
+/// Plays, prints, and says what falls short.
+pub fn run(short: &mut Vec<String>) {
+    let begun = Instant::now();
+    let summary = seeds::run(Plan::crowded, 1, SEEDS, cores(), false, || (), |_| ());
+    let met = |name: &str| summary.met.get(name).map_or(0, |met| met.1);
+    say!(
+        "{SEEDS} seeds with floods in {:.1} s: {} broke a rule; {}",
+        begun.elapsed().as_secs_f64(),
+        summary.failed.len(),
+        HARD.map(|name| format!("{name} in {}", met(name))).join(", ")
+    );
+    for outcome in &summary.failed {
+        short.push(format!("crowded seed {}: {}", outcome.seed, outcome.broken.join("; ")));
+    }
+    for name in HARD {
+        if met(name) == 0 {
+            short.push(format!("no seed has met: {name}"));
+        }
+    }
+    bugs(short);
+}
+
+fn bugs(short: &mut Vec<String>) {
+    if !plant(Some(Bug::StrangerStays)) {
+        short.push("built without the feature `planted`: no bug can be planted".to_owned());
+        return;
+    }
+    let begun = Instant::now();
+    let mut found = Vec::new();
+    for bug in Bug::PLACES {
+        let prepare = || {
+            plant(Some(bug));
+        };
+        let summary = seeds::run(Plan::crowded, 1, WITHIN, cores(), true, prepare, |_| ());
+        match summary.failed.first() {
+            Some(first) => found.push(format!("{bug:?} {}", first.seed)),
+            None => short.push(format!("{bug:?} is not found in {WITHIN} seeds")),
+        }
+    }
+    plant(None);
+    say!(
+        "planted bugs found in {:.1} s, with the first seed: {}",
+        begun.elapsed().as_secs_f64(),
+        found.join(", ")
+    );
+}
--- a/src/tools/mod.rs
+++ b/src/tools/mod.rs
@@ -4,6 +4,7 @@
 pub mod bench;
 pub mod bench_admission;
 pub mod bench_fleet;
+pub mod bench_places;
 pub mod bench_results;
 pub mod bench_routes;
 pub mod bench_seeds;
--- a/src/tools/seeds.rs
+++ b/src/tools/seeds.rs
@@ -1,7 +1,7 @@
 //! `cleatpulley seeds`: whole matchers on a virtual clock, with faults from seeds.
 
 use clap::{Args, Subcommand};
-use cleatpulley_rig::plan::Plan;
+use cleatpulley_rig::plan::{Places, Plan};
 use cleatpulley_rig::seeds::{self, Summary};
 use std::io::{IsTerminal, Write};
 use std::process::ExitCode;
@@ -21,6 +21,9 @@
         /// Threads; as many as there are cores unless set
         #[arg(long)]
         jobs: Option<usize>,
+        /// With floods and decisions on places in each
+        #[arg(long)]
+        crowded: bool,
     },
     /// Play one seed and print what passed; ends with 1 where it broke a rule
     Replay {
@@ -45,6 +48,23 @@
 pub struct Seed {
     /// The seed
     seed: u64,
+    /// With floods and decisions on places
+    #[arg(long)]
+    crowded: bool,
+}
+
+impl Seed {
+    fn plan(&self) -> Plan {
+        plan(self.seed, self.crowded)
+    }
+}
+
+fn plan(seed: u64, crowded: bool) -> Plan {
+    if crowded {
+        Plan::crowded(seed)
+    } else {
+        Plan::of(seed)
+    }
 }
 
 /// Does it.
@@ -53,9 +73,9 @@
 /// Where the system tells no number of cores.
 pub fn run(seeds: &Seeds) -> Result<ExitCode, String> {
     match seeds {
-        Seeds::Run { from, count, jobs } => Ok(many(*from, *count, *jobs)),
-        Seeds::Replay { seed, last } => Ok(replay(seed.seed, *last)),
-        Seeds::Shrink { seed, most } => Ok(shrink(seed.seed, *most)),
+        Seeds::Run { from, count, jobs, crowded } => Ok(many(*from, *count, *jobs, *crowded)),
+        Seeds::Replay { seed, last } => Ok(replay(seed.plan(), *last)),
+        Seeds::Shrink { seed, most } => Ok(shrink(&seed.plan(), *most)),
     }
 }
 
@@ -72,7 +92,7 @@
     }
 }
 
-fn many(from: u64, count: u64, jobs: Option<usize>) -> ExitCode {
+fn many(from: u64, count: u64, jobs: Option<usize>, crowded: bool) -> ExitCode {
     let begun = Instant::now();
     let watched = std::io::stderr().is_terminal();
     let progress = |done: u64| {
@@ -82,7 +102,7 @@
         }
     };
     let jobs = jobs.unwrap_or_else(cores);
-    let summary = seeds::run(from, count, jobs, false, || (), progress);
+    let summary = seeds::run(|seed| plan(seed, crowded), from, count, jobs, false, || (), progress);
     if watched {
         eprintln!();
     }
@@ -124,7 +144,11 @@
         plan.asks as f64 / 1e6,
         plan.sockets,
         if plan.partial { ", reads and writes cut short" } else { "" },
-        if plan.admission { ", places decided, the front ends' address named" } else { "" }
+        match plan.places {
+            Places::FirstCome => "",
+            Places::Named => ", places decided, the front ends' address named",
+            Places::Earned => ", places decided, standing earned",
+        }
     );
     for (n, habit) in plan.habits.iter().enumerate() {
         say!("  front end {n}: {habit:?}");
@@ -132,8 +156,7 @@
     plan.faults.iter().for_each(|planned| say!("  {planned}"));
 }
 
-fn replay(seed: u64, last: Option<usize>) -> ExitCode {
-    let plan = Plan::of(seed);
+fn replay(plan: Plan, last: Option<usize>) -> ExitCode {
     describe(&plan);
     let (outcome, trace) = seeds::replay(plan);
     let from = last.map_or(0, |last| trace.len().saturating_sub(last));
@@ -149,10 +172,9 @@
     status(outcome.broken.is_empty())
 }
 
-fn shrink(seed: u64, most: u32) -> ExitCode {
-    let whole = Plan::of(seed);
+fn shrink(whole: &Plan, most: u32) -> ExitCode {
     if seeds::play(whole.clone()).broken.is_empty() {
-        say!("seed {seed} breaks no rule");
+        say!("seed {} breaks no rule", whole.seed);
         return ExitCode::SUCCESS;
     }
     let (small, played) = seeds::shrink(whole.clone(), most);
