--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -22,6 +22,7 @@
 
 mod counts;
 mod keyed;
+mod trace;
 mod words;
 
 use keyed::Meeting;
@@ -382,6 +383,7 @@
         // Guards against clocks that differ: nothing came later than now, or longer ago than anyone waits.
         let door = door.min(now).max(now.saturating_sub(settings.deadline));
         let due = (door + settings.deadline).min(self.last_due).max(now);
+        trace::arrived(now, id, class, caller, door, work);
         let mut request = Request {
             id,
             due: None,
@@ -548,6 +550,7 @@
                     return self.run_keyed(now, id, commands);
                 }
                 entry.stage = Stage::Running;
+                trace::starts(now, id);
                 let safe = self.settings.classes[entry.class].effect == Effect::Safe;
                 let body = if safe { entry.body.clone() } else { std::mem::take(&mut entry.body) };
                 self.counts.relayed(entry.class);
@@ -590,7 +593,10 @@
             Action::Timer { at, token } => {
                 self.timers.insert((at, token));
             }
-            Action::Advertise(value) => commands.push(Command::Feedback(value)),
+            Action::Advertise(value) => {
+                trace::advertised(now, value);
+                commands.push(Command::Feedback(value));
+            }
             Action::CloseIdle(after) => commands.push(Command::CloseIdle(after)),
             Action::Health { good, .. } => commands.push(Command::Health(good)),
             // What is kept of a key is the history's affair.
@@ -602,6 +608,7 @@
     fn answer(&mut self, now: Micros, id: RequestId, answer: Answer, commands: &mut Vec<Command>) -> bool {
         let Some(entry) = self.entries.get(&id).filter(|entry| !entry.answered) else { return false };
         self.counts.answered(entry.class, &answer);
+        trace::answered(now, id, entry.request.caller, entry.door, &answer);
         commands.push(Command::Answer { to: entry.origin, answer });
         self.over(now, id, commands);
         true
--- a/crates/matcher/src/lib.rs
+++ b/crates/matcher/src/lib.rs
@@ -435,7 +435,12 @@
                 return self.leave_to_successor(now);
             }
             let stop_at = now + self.stop;
-            tracing::info!("leaving within {} ms", self.stop / 1_000);
+            tracing::info!(
+                "leaving within {} ms, with {} connections and {} requests that owe an answer",
+                self.stop / 1_000,
+                self.front.connections(),
+                self.exchange.unanswered()
+            );
             self.stop_at = Some(stop_at);
             self.facts.push(Fact::Drain { stop_at });
             self.front.leave(now);
