--- a/crates/exchange/src/trace.rs
+++ b/crates/exchange/src/trace.rs
@@ -9,7 +9,15 @@
 }
 
 pub(crate) fn arrived(now: Micros, id: RequestId, class: usize, caller: u64, door: Micros, work: Micros) {
-    follow!(now, id = format_args!("{id:016x}"), class, caller, waited = now.saturating_sub(door), work, "arrived");
+    follow!(
+        now,
+        id = format_args!("{id:016x}"),
+        class,
+        caller,
+        waited = now.saturating_sub(door),
+        work,
+        "arrived"
+    );
 }
 
 pub(crate) fn starts(now: Micros, id: RequestId) {
