Find the next process when one's successor died, so the store goes to the youngest of three

The middle one of three processes was killed; the first took clients and the store of results again while the third served, and a keyed request at the third waited for the store until it was due and failed. Ruled out: the store's lock and the keeper (the owner was told step by step: the first held it with nothing to do).

A process whose successor died now looks for 50 ms whether another has the name. Where one has, it goes behind that one: it tells what it has left, takes no clients and lets go of the store; the third leaves it its share of cores, memory, calls and descriptors, and counts what a dead one left for as long as running work can't be stopped. Two neighbours found on the way: descriptors kept for a successor and for listening sockets that can't be taken up yet, and the grace of a drain counted from the first notice where a successor dies after it.

--- a/crates/matcher/src/front.rs
+++ b/crates/matcher/src/front.rs
@@ -258,16 +258,14 @@
     ///
     /// # Errors
     /// The first that can't be had.
-    pub fn listen_expected(&mut self) -> io::Result<Vec<SocketAddr>> {
+    pub fn listen_expected(&mut self) -> Result<Vec<SocketAddr>, (SocketAddr, io::Error)> {
         let mut addresses = Vec::new();
         for place in 0..self.doors.len() {
             if self.doors[place].listener.is_some() {
                 continue;
             }
             let address = self.doors[place].address;
-            let listened = self.world.listen(address, place);
-            let (listener, address) =
-                listened.map_err(|e| io::Error::new(e.kind(), format!("listen: {address}: {e}")))?;
+            let (listener, address) = self.world.listen(address, place).map_err(|e| (address, e))?;
             let door = &mut self.doors[place];
             (door.address, door.listener, door.acceptable) = (address, Some(listener), true);
             addresses.push(address);
@@ -303,9 +301,11 @@
         while self.peers.len() > self.most && self.make_room(now, facts) {}
     }
 
-    /// Closes a connection that owes nothing, if there is one: the system has no descriptor left.
-    pub fn spare_one(&mut self, now: Micros, facts: &mut Vec<Fact>) {
+    /// Closes a connection that owes nothing, if there is one: the system has no descriptor left. Guards against the next
+    /// that waits at the door, who would have it before whom it is meant for.
+    pub fn spare_one(&mut self, now: Micros, meant_until: Micros, facts: &mut Vec<Fact>) {
         self.make_room(now, facts);
+        self.accept_at = self.accept_at.max(meant_until);
     }
 
     /// All connections that were ever used have been told to close.
--- a/crates/matcher/src/handover.rs
+++ b/crates/matcher/src/handover.rs
@@ -8,11 +8,14 @@
 use cleatpulley_policy::interface::Micros;
 use cleatpulley_policy::plant::{planted, Bug};
 use cleatpulley_upgrade::{snapshot, Held};
+use std::io;
 
 /// What a front end sent before it read that it should not may come so long after the hand-over.
 pub(super) const CROSSING: Micros = 60_000;
 /// A successor leaves room for its predecessor, and has at least so many connections.
 const FEWEST: usize = 8;
+/// Wait after no descriptor was left for a listening socket.
+const LISTENS_AGAIN: Micros = 20_000;
 /// A process whose successor is there is stopped so long after the longest wait of a caller, of which no more than that
 /// counts.
 const AFTER_LONGEST: Micros = 700_000;
@@ -33,11 +36,19 @@
     /// Goes on with taking another process's place, or giving up its own.
     pub(super) fn go_on_with_upgrade(&mut self, now: Micros) {
         let Some(mut upgrade) = self.upgrade.take() else { return };
-        let mut steps = Vec::new();
-        let listens: Vec<_> = self.front.listeners().collect();
-        upgrade.turn(now, self.runtime.up(), &listens, || self.held(), &mut steps);
-        for step in steps {
-            self.take_step(now, step, &mut upgrade);
+        loop {
+            let mut steps = Vec::new();
+            let listens: Vec<_> = self.front.listeners().collect();
+            // One that does not listen yet has nothing to take clients with.
+            let up = self.runtime.up() && self.listen_at.is_none();
+            upgrade.turn(now, up, &listens, || self.held(), &mut steps);
+            let adopts = steps.iter().any(|step| matches!(step, upgrade::Step::Adopt(_)));
+            for step in steps {
+                self.take_step(now, step, &mut upgrade);
+            }
+            if !adopts {
+                break;
+            }
         }
         self.upgrade = Some(upgrade);
     }
@@ -46,15 +57,23 @@
         match step {
             upgrade::Step::Adopt(_) if planted(Bug::SocketDropped) => self.listen(),
             upgrade::Step::Adopt(passed) => {
+                let mut short = false;
                 for (address, passed) in passed {
                     let adopted = self.front.adopt(address, |place| self.world.adopt(passed, address, place));
                     match adopted {
                         Ok(true) => tracing::info!("{} listens on {address}, which was passed on", self.name),
                         Ok(false) => {}
+                        Err(e) if is_short(&e) => {
+                            tracing::warn!("upgrade: what was passed for {address} is not taken up: {e}");
+                            short = true;
+                        }
                         Err(e) => tracing::warn!("upgrade: {address} is listened on anew: {e}"),
                     }
                 }
-                self.listen();
+                // Whoever waits in a queue that is not taken up would be lost with the predecessor.
+                if !(short && upgrade.retreat(now)) {
+                    self.listen();
+                }
             }
             upgrade::Step::Listen => {
                 tracing::warn!("upgrade: nothing was passed on; listens beside the process that serves");
@@ -69,7 +88,7 @@
                     upgrade.post(address);
                 }
             }
-            upgrade::Step::MakeRoom => self.front.spare_one(now, &mut self.facts),
+            upgrade::Step::MakeRoom => self.front.spare_one(now, now + 2 * upgrade::LET_IN, &mut self.facts),
             upgrade::Step::Standing(standing) => {
                 if let Some(admission) = self.front.admission_mut() {
                     tracing::info!("upgrade: {} callers have earned standing", standing.len());
@@ -100,6 +119,8 @@
             upgrade::Step::Yield => {
                 tracing::info!("upgrade: a successor takes clients from here on");
                 self.yielded = Some((now, false));
+                // One that was leaving without a successor has one again, and ends once it has answered.
+                self.succeeded |= self.stop_at.is_some();
                 self.front.give_way(now);
                 self.share_descriptors(now);
                 self.release_standings(now);
@@ -122,9 +143,10 @@
                     // From here on it is an ordinary drain: callers are sent elsewhere.
                     self.facts.extend(self.stop_at.map(|stop_at| Fact::Drain { stop_at }));
                     self.front.leave(now);
-                    return;
+                } else {
+                    tracing::warn!("upgrade: the successor is gone; takes clients again");
                 }
-                tracing::warn!("upgrade: the successor is gone; takes clients again");
+                // One that leaves is found as well: whoever comes now gets the sockets from it, with those who wait.
                 let first = self.front.listeners().next();
                 if let Some((address, _)) = first {
                     upgrade.post(address);
@@ -174,6 +196,8 @@
         let most = self.most.saturating_sub(taken);
         let (most, asked) = match (self.yielded, beside) {
             (Some(_), _) => (most.min(self.most / 3), operators::PLACES / 4),
+            // Where hardly anything is left, operators give as well.
+            (None, true) if most < 2 * FEWEST => (most, operators::PLACES / 4),
             (None, true) => (most, operators::PLACES / 2),
             (None, false) => (most, operators::PLACES),
         };
@@ -183,14 +207,23 @@
         }
     }
 
-    fn listen(&mut self) {
+    /// Listens where no socket was passed. Guards against an end for want of a descriptor, which the next moment may have:
+    /// nobody else would take who waits.
+    pub(super) fn listen(&mut self) {
+        self.listen_at = None;
         match self.front.listen_expected() {
             Ok(addresses) => {
                 for address in addresses {
                     tracing::info!("{} listens on {address}", self.name);
                 }
             }
-            Err(e) => self.fault = Some(e),
+            Err((address, e)) if is_short(&e) => {
+                tracing::warn!("upgrade: does not listen on {address} yet: {e}");
+                self.listen_at = Some(self.world.now() + LISTENS_AGAIN);
+            }
+            Err((address, e)) => {
+                self.fault = Some(io::Error::new(e.kind(), format!("listen: {address}: {e}")));
+            }
         }
     }
 
@@ -206,3 +239,8 @@
         }
     }
 }
+
+/// No descriptor is left, here or on the whole host.
+fn is_short(e: &io::Error) -> bool {
+    matches!(e.raw_os_error(), Some(libc::EMFILE | libc::ENFILE))
+}
--- a/crates/matcher/src/lib.rs
+++ b/crates/matcher/src/lib.rs
@@ -37,6 +37,9 @@
 use std::rc::Rc;
 use world::{Keeper, Meeting, Readiness, Standings as _, World};
 
+/// So shortly before the stop nobody is accepted any more.
+const LAST_ACCEPT: Micros = 5_000;
+
 /// Descriptors that are neither a front end's nor the store's: the loop's own, the listener, the link, the
 /// directory, the log, and some to spare.
 const SPARE: usize = 32;
@@ -204,6 +207,8 @@
     standings: Option<W::Standings>,
     standings_in: Option<(PathBuf, usize)>,
     standings_at: Micros,
+    /// When it tries again to listen.
+    listen_at: Option<Micros>,
     /// Since when a successor takes clients, and whether it has the store of results.
     yielded: Option<(Micros, bool)>,
     facts: Vec<Fact>,
@@ -332,6 +337,7 @@
             standings: None,
             standings_in,
             standings_at: 0,
+            listen_at: None,
             yielded: None,
             facts: Vec::new(),
             commands: Vec::new(),
@@ -385,6 +391,10 @@
 
     /// Closes what it keeps; nothing is to be served any more.
     pub fn close(&mut self) {
+        let held = self.held();
+        if let Some(upgrade) = &mut self.upgrade {
+            upgrade.farewell(held);
+        }
         if let Some(keeper) = self.keeper.take() {
             keeper.stop();
         }
@@ -479,7 +489,8 @@
             let quiet = quiet || planted(Bug::LeftEarly) || (self.succeeded && planted(Bug::SucceededEarly));
             // Where a successor accepts, nobody can come here any more. One whose own predecessor is still there waits for
             // its end, which would else take it for dead, and whose share the successor hears of only here.
-            let before = self.upgrade.as_ref().is_some_and(upgrade::Upgrade::has_predecessor);
+            let waits = |upgrade: &upgrade::Upgrade<W>| upgrade.has_predecessor() || upgrade.is_orphaned();
+            let before = self.upgrade.as_ref().is_some_and(waits);
             now >= at || (quiet && self.succeeded && !before) || (quiet && now + FAREWELL / 2 >= at)
         })
     }
@@ -490,6 +501,9 @@
         let now = self.world.now();
         if self.stop_at.is_some_and(|at| now + FAREWELL >= at) {
             self.front.part(now);
+            if let Some(upgrade) = &mut self.upgrade {
+                upgrade.search_no_more(now);
+            }
         }
         if let Some(tls) = &self.tls {
             tls.borrow_mut().turn(now, false);
@@ -497,6 +511,13 @@
         // First: what staff see may not depend on how many clients there are.
         let mut more = self.answer_operators(now);
         self.go_on_with_upgrade(now);
+        if self.listen_at.is_some_and(|at| now >= at) {
+            self.listen();
+        }
+        if self.stop_at.is_some_and(|at| now + LAST_ACCEPT >= at) {
+            // Whoever is accepted now would be read and not answered.
+            self.front.rest();
+        }
         more |= self.front.turn(now, &mut self.facts);
         more |= self.runtime.turn(now, &mut self.facts);
         self.store.turn(now, &mut self.facts);
@@ -525,8 +546,15 @@
         }
         let asked = self.operators.as_ref().and_then(operators::Operators::next);
         let passes = self.upgrade.as_ref().and_then(upgrade::Upgrade::next);
-        let next =
-            [self.exchange.next(), self.runtime.next(), self.store.next(), self.stop_at, asked, passes];
+        let next = [
+            self.exchange.next(),
+            self.runtime.next(),
+            self.store.next(),
+            self.stop_at,
+            asked,
+            passes,
+            self.listen_at,
+        ];
         let store = self.yielded.filter(|(since, passed)| !passed && now < since + handover::CROSSING);
         let next = next.into_iter().flatten().chain(store.map(|(since, _)| since + handover::CROSSING));
         let watch = self.tls.as_ref().map(|_| now + secure::WATCH);
@@ -544,7 +572,7 @@
     /// Whether it takes clients: without its runtime it serves nothing.
     #[must_use]
     pub fn takes_clients(&self) -> bool {
-        self.runtime.up() && self.stop_at.is_none() && self.serves()
+        self.runtime.up() && self.stop_at.is_none() && self.listen_at.is_none() && self.serves()
     }
 
     /// Clients are accepted here, and by no process whose place it takes or that takes its own.
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -286,10 +286,10 @@
         actions.push(Action::Timer { at: self.now + self.period, token: 0 });
     }
 
-    /// Leaving: everything is due before the stop, and callers are sent elsewhere unless a successor is here.
+    /// Leaving, with the grace from the first notice; callers are sent elsewhere unless a successor is here.
     fn begin_drain(&mut self, stop_at: Micros, succeeded: bool, actions: &mut Vec<Action>) {
         let stop_at = stop_at.saturating_sub(2 * self.settings.answer_slack.max(self.period));
-        let last_arrival = self.now + self.settings.drain_grace;
+        let last_arrival = self.drain.map_or(self.now + self.settings.drain_grace, |d| d.last_arrival);
         self.drain = Some(Drain { last_arrival, stop_at, succeeded });
         for record in self.requests.values_mut() {
             record.due = record.due.min(stop_at);
--- a/crates/rig/src/host.rs
+++ b/crates/rig/src/host.rs
@@ -136,7 +136,10 @@
 
     /// Does what there is to do and closes the store.
     pub fn close(&mut self, now: Micros) {
+        // A disk that stands still is waited for there, as the keeper's thread does, and nothing is left for the next.
+        self.stalled_until = self.stalled_until.min(now);
         self.work(now, &mut Vec::new());
+        self.jobs.clear();
         self.core.close();
         self.abandon();
         self.released = true;
@@ -272,6 +275,10 @@
 impl VirtualKeeper {
     fn push(&self, job: Job) {
         let mut desk = self.world.desk.borrow_mut();
+        // Nobody takes what is asked of a keeper that was let go, also not the next one.
+        if desk.released {
+            return;
+        }
         desk.jobs.push_back(job);
         if !std::mem::replace(&mut desk.scheduled, true) {
             let mut net = self.world.net.borrow_mut();
--- a/crates/rig/src/machine.rs
+++ b/crates/rig/src/machine.rs
@@ -6,7 +6,7 @@
 use crate::host::{Desk, Event, Lock, Virtual};
 use crate::plan::Places;
 use crate::shelf::Shelf;
-use crate::sim::{Listens, Sim, MS, RUNTIMES, SECOND, STOP};
+use crate::sim::{Listens, Sim, BEGIN, MS, RUNTIMES, SECOND, STOP};
 use cleatpulley_admission::admit::Cap;
 use cleatpulley_admission::net::Net;
 use cleatpulley_admission::rate::Rate;
@@ -296,7 +296,9 @@
         }
         (process.pending, process.wake) = (false, Micros::MAX);
         process.turns = if process.turns.0 == now { (now, process.turns.1 + 1) } else { (now, 0) };
+        let told = tracing::info_span!("process", m, life, at = (now - BEGIN) as f64 / 1e6).entered();
         let next = process.node.turn();
+        drop(told);
         if let Some(fault) = process.node.fault() {
             // A new process that can't have its sockets ends, and the one that serves goes on.
             if self.rollouts.iter().any(|rollout| rollout.new == life && rollout.told_at.is_none()) {
--- a/crates/rig/src/plan.rs
+++ b/crates/rig/src/plan.rs
@@ -241,6 +241,44 @@
         plan
     }
 
+    /// One with upgrades that fall into each other, some of whose processes die, and front ends that send keys.
+    #[must_use]
+    pub fn chained(seed: u64) -> Self {
+        let mut plan = Self::of(seed);
+        let mut more = SmallRng::seed_from_u64(seed ^ 0xC4A1_4ED0);
+        plan.habits.iter_mut().for_each(|habit| habit.keyed = true);
+        for _ in 0..more.random_range(1..3) {
+            let matcher = more.random_range(0..plan.matchers);
+            let mut at = more.random_range(SECOND / 2..plan.asks);
+            // What a process has that nobody hears of counts where there is little left: of cores, or of descriptors.
+            let short = match more.random_range(0..3) {
+                0 => Some(Fault::Slow(more.random_range(4.0..9.0))),
+                1 => Some(Fault::Crowd(more.random_range(100..400))),
+                _ => None,
+            };
+            if let Some(fault) = short {
+                let at = at.saturating_sub(300 * MS);
+                plan.faults.push(Planned { at, lasts: 2_500 * MS, matcher, fault });
+            }
+            for _ in 0..more.random_range(2..5) {
+                let killed = match more.random_range(0..5) {
+                    0 => Some(Killed::New(step(&mut more))),
+                    1 | 2 => Some(Killed::Old(step(&mut more))),
+                    _ => None,
+                };
+                plan.faults.push(Planned { at, lasts: SECOND, matcher, fault: Fault::Upgrade(killed) });
+                // Within the time in which the process before it still answers, and often before it has the place.
+                at += match more.random_range(0..3) {
+                    0 => more.random_range(1..40) * MS,
+                    1 => more.random_range(40..300) * MS,
+                    _ => more.random_range(300..1_500) * MS,
+                };
+            }
+        }
+        plan.faults.sort_by_key(|planned| planned.at);
+        plan
+    }
+
     fn flood(&mut self, random: &mut SmallRng) {
         for _ in 0..random.random_range(1..3) {
             let at = random.random_range(SECOND / 2..self.asks);
--- a/crates/rig/tests/seeds.rs
+++ b/crates/rig/tests/seeds.rs
@@ -30,6 +30,33 @@
     }
 }
 
+/// Upgrades that fall into each other, with processes of the chain killed: whoever came before a dead one is found, and the
+/// store of results goes to the youngest.
+#[test]
+fn chains_of_processes_keep_the_rules_whoever_of_them_dies() {
+    let summary = seeds::run(Plan::chained, 1, 24, 4, false, || (), |_| ());
+    let failed: Vec<_> = summary.failed.iter().map(|outcome| (outcome.seed, &outcome.broken)).collect();
+    assert!(failed.is_empty(), "{failed:?}");
+    for name in [
+        "a third process while the first still answers",
+        "the old process dies in an upgrade",
+        "the new process dies after the old one was told to leave",
+        "a repeat is told the first answer",
+    ] {
+        assert!(summary.met.contains_key(name), "{name} was not met: {:?}", summary.met);
+    }
+}
+
+/// In both the middle one of three processes died, the first took the store of results again while the third served, and a
+/// keyed request there waited for the store until it was due.
+#[test]
+fn the_first_of_three_does_not_keep_the_store_from_the_third() {
+    for seed in [773_604, 774_130] {
+        let outcome = seeds::play(Plan::of(seed));
+        assert!(outcome.broken.is_empty(), "{seed}: {:?}", outcome.broken);
+    }
+}
+
 #[test]
 fn the_same_seeds_pass_the_same_way_whoever_plays_them() {
     let digest = |jobs| seeds::run(Plan::of, 3, 6, jobs, false, || (), |_| ()).digest;
--- a/crates/upgrade/src/message.rs
+++ b/crates/upgrade/src/message.rs
@@ -64,6 +64,15 @@
     StoreFree {},
     /// Predecessor: what it has left by now.
     Left(Held),
+    /// A process whose successor died, to the one that serves now: it came before it, and has so much left.
+    Behind {
+        /// [`VERSION`].
+        version: u32,
+        /// The matcher's name.
+        name: String,
+        /// What it has left.
+        held: Held,
+    },
 }
 
 /// Why a packet is no message.
@@ -97,7 +106,7 @@
             return Err(Fault::Long(bytes.len()));
         }
         let message: Self = serde_json::from_slice(bytes)?;
-        if let Self::Yours { held, .. } | Self::Left(held) = &message {
+        if let Self::Yours { held, .. } | Self::Left(held) | Self::Behind { held, .. } = &message {
             // Guards the controller against figures that no sum survives.
             if !(held.memory_kb.is_finite() && held.memory_kb >= 0.0) {
                 return Err(Fault::Amount(held.memory_kb));
@@ -135,6 +144,7 @@
             Message::Yours { held, learned: String::new(), standing: vec![([10, 0, 0, 1].into(), 2.5)] },
             Message::StoreFree {},
             Message::Left(held),
+            Message::Behind { version: 1, name: "n1".into(), held },
         ];
         for message in messages {
             let bytes = message.encode();
--- a/src/tools/seeds.rs
+++ b/src/tools/seeds.rs
@@ -21,9 +21,9 @@
         /// Threads; as many as there are cores unless set
         #[arg(long)]
         jobs: Option<usize>,
-        /// With floods and decisions on places in each
-        #[arg(long)]
-        crowded: bool,
+        /// What each seed stands for
+        #[arg(long, value_enum, default_value = "mixed")]
+        plan: Kind,
     },
     /// Play one seed and print what passed; ends with 1 where it broke a rule
     Replay {
@@ -48,22 +48,35 @@
 pub struct Seed {
     /// The seed
     seed: u64,
-    /// With floods and decisions on places
-    #[arg(long)]
-    crowded: bool,
+    /// What it stands for
+    #[arg(long, value_enum, default_value = "mixed")]
+    plan: Kind,
 }
 
-impl Seed {
-    fn plan(&self) -> Plan {
-        plan(self.seed, self.crowded)
+/// What seeds stand for.
+#[derive(clap::ValueEnum, Clone, Copy)]
+pub enum Kind {
+    /// Whatever is drawn
+    Mixed,
+    /// Floods of strangers, and decisions on places
+    Floods,
+    /// Upgrades that fall into each other, and keys
+    Upgrades,
+}
+
+impl Kind {
+    fn plan(self, seed: u64) -> Plan {
+        match self {
+            Self::Mixed => Plan::of(seed),
+            Self::Floods => Plan::crowded(seed),
+            Self::Upgrades => Plan::chained(seed),
+        }
     }
 }
 
-fn plan(seed: u64, crowded: bool) -> Plan {
-    if crowded {
-        Plan::crowded(seed)
-    } else {
-        Plan::of(seed)
+impl Seed {
+    fn plan(&self) -> Plan {
+        self.plan.plan(self.seed)
     }
 }
 
@@ -73,7 +86,7 @@
 /// Where the system tells no number of cores.
 pub fn run(seeds: &Seeds) -> Result<ExitCode, String> {
     match seeds {
-        Seeds::Run { from, count, jobs, crowded } => Ok(many(*from, *count, *jobs, *crowded)),
+        Seeds::Run { from, count, jobs, plan } => Ok(many(*from, *count, *jobs, *plan)),
         Seeds::Replay { seed, last } => Ok(replay(seed.plan(), *last)),
         Seeds::Shrink { seed, most } => Ok(shrink(&seed.plan(), *most)),
     }
@@ -92,7 +105,7 @@
     }
 }
 
-fn many(from: u64, count: u64, jobs: Option<usize>, crowded: bool) -> ExitCode {
+fn many(from: u64, count: u64, jobs: Option<usize>, kind: Kind) -> ExitCode {
     let begun = Instant::now();
     let watched = std::io::stderr().is_terminal();
     let progress = |done: u64| {
@@ -102,7 +115,7 @@
         }
     };
     let jobs = jobs.unwrap_or_else(cores);
-    let summary = seeds::run(|seed| plan(seed, crowded), from, count, jobs, false, || (), progress);
+    let summary = seeds::run(|seed| kind.plan(seed), from, count, jobs, false, || (), progress);
     if watched {
         eprintln!();
     }
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -183,6 +183,39 @@
     assert_eq!(report.broken, Vec::<String>::new(), "{report}");
 }
 
+/// The middle one of three processes is killed while the first still answers: the first goes behind the third, takes no clients
+/// beside it, and nothing is lost but what the dead one had read.
+#[test]
+fn the_first_of_three_goes_behind_the_third_when_the_middle_one_is_killed() {
+    let trial = under_load(0.7, 3.0, 4, 17);
+    let mut going = trial.start(&program()).expect("it starts");
+    std::thread::sleep(Duration::from_millis(500));
+    let mut second = going.begin_upgrade(&program(), 1).expect("it starts");
+    second.wait_ready(Duration::from_secs(6)).expect("ready");
+    let mut first = std::mem::replace(&mut going.matcher, second);
+    let mut third = going.begin_upgrade(&program(), 2).expect("it starts");
+    third.wait_ready(Duration::from_secs(6)).expect("ready");
+    let mut second = std::mem::replace(&mut going.matcher, third);
+    first.terminate();
+    second.kill();
+    // Where the first had answered all by then, there is nobody to go behind.
+    if first.is_alive() {
+        let _ = going.matcher.wait_for("comes before this one");
+    }
+    assert!(first.wait(Duration::from_secs(4)).expect("it ends").success());
+    while !all_done(&going) {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let report = going.judge();
+    let broken: Vec<_> = report.broken.iter().filter(|what| !what.contains("without an answer")).collect();
+    assert!(broken.is_empty(), "{report}");
+    let total = |of: fn(&cleatpulley_standin::callers::Tally) -> u64| -> u64 {
+        report.tallies.iter().map(|(.., tally)| of(tally)).sum()
+    };
+    assert!(total(|tally| tally.lost) < 40, "only what the dead one had read: {report}");
+    assert_eq!(total(|tally| tally.unreachable), 0, "{report}");
+}
+
 /// Guards against an address that is shared by mistake: a process that can't take another's place does not listen beside it.
 #[test]
 fn a_stranger_on_the_address_is_a_fault() {
