--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -292,7 +292,7 @@
                 ask
             }
         });
-        let due = self.dues.first().map(|&(due, _)| due + self.grace());
+        let due = self.dues.first().map(|&(due, _)| self.answers_at(due));
         let keys = self.keys.as_ref().and_then(|keys| keys.history.next());
         [events, timer, due, keys].into_iter().flatten().min()
     }
@@ -319,6 +319,12 @@
         self.settings.answer_slack / 2 + late
     }
 
+    /// When the exchange answers by itself what is due then. Guards against the stop: what was read shortly before it has no
+    /// slack of its own.
+    fn answers_at(&self, due: Micros) -> Micros {
+        due.min(self.last_due).saturating_add(self.grace())
+    }
+
     fn start(&mut self, now: Micros, since: Micros, commands: &mut Vec<Command>) {
         if self.started {
             return;
@@ -644,7 +650,7 @@
 
     fn keep_dues(&mut self, now: Micros, commands: &mut Vec<Command>) {
         while let Some(&(due, id)) = self.dues.first() {
-            if due + self.grace() > now {
+            if self.answers_at(due) > now {
                 return;
             }
             self.events.push(Event::Gone(id));
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -48,9 +48,10 @@
 }
 
 /// What the requests of this server call.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub enum Below {
     /// Nothing.
+    #[default]
     Nothing,
     /// One dependency of all servers.
     Shared {
@@ -64,9 +65,10 @@
 }
 
 /// How callers read the advertised value.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Advert {
     /// They don't.
+    #[default]
     Unused,
     /// They send nothing of lower rank.
     Floor,
@@ -77,7 +79,7 @@
 }
 
 /// All that a controller is told at its start.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct Settings {
     /// The classes; events name them by index.
     pub classes: Vec<Class>,
--- a/crates/policy/src/learned.rs
+++ b/crates/policy/src/learned.rs
@@ -91,7 +91,7 @@
     /// What it has learned.
     #[must_use]
     pub fn learned(&self) -> Learned {
-        let class = |pace: &crate::balance::Pace| Class {
+        let class = |pace: &crate::balance::record::Pace| Class {
             run_time: pace.run_time,
             work: pace.work,
             patience: pace.patience,
--- a/crates/rig/src/rules.rs
+++ b/crates/rig/src/rules.rs
@@ -427,7 +427,13 @@
             let reads = machine.paused.is_none() && machine.resumed_at + CROSSING < now;
             if !machine.procs.is_empty() && reads && used > machine.memory_kb {
                 let most = machine.memory_kb;
-                self.wrong(sim, format!("m{m}: {held} held and {runs} running take {used} KB of {most}"));
+                let each: Vec<_> =
+                    machine.procs.iter().map(|process| process.node.census().to_string()).collect();
+                let each = each.join("; ");
+                self.wrong(
+                    sim,
+                    format!("m{m}: {held} held and {runs} running take {used} KB of {most} ({each})"),
+                );
             }
             if used > machine.memory_kb / 2.0 {
                 self.meet("more than half of the memory is used");
--- a/crates/rig/tests/seeds.rs
+++ b/crates/rig/tests/seeds.rs
@@ -57,6 +57,13 @@
     }
 }
 
+/// A keyed request was read some 30 ms before the stop of a process whose successor had died, and its answer came after it.
+#[test]
+fn what_is_read_right_before_the_stop_is_answered_before_it() {
+    let outcome = seeds::play(Plan::chained(12_809));
+    assert!(outcome.broken.is_empty(), "{:?}", outcome.broken);
+}
+
 #[test]
 fn the_same_seeds_pass_the_same_way_whoever_plays_them() {
     let digest = |jobs| seeds::run(Plan::of, 3, 6, jobs, false, || (), |_| ()).digest;
