Let gateways and matchers hear who is there, and draw what several processes did

Need: what processes share, the ground for the return from a power loss, shared predictions and agreed routing. crates/membership is gossip with suspicion over a library without I/O (weighed in docs/design/membership.md): identities with incarnations that never come twice, sealed datagrams with rotating keys, figures that merge in any order, all bounded. matcher::peers is its socket behind the seam, crates/timeline reads, draws and compares steps, standin::cluster starts several real processes with ways between them that are cut, slowed, doubled and lost. Off without its section; nothing is decided by it yet.

One that was cut off sent all others back: the smaller part comes back now.

--- a/crates/matcher/src/lib.rs
+++ b/crates/matcher/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod keeping;
 pub mod operators;
 mod passage;
+pub mod peers;
 pub mod real;
 pub mod report;
 pub mod runtime;
@@ -182,8 +183,9 @@
 
 impl fmt::Display for Census {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { descriptors, connections, pool, asked, .. } = self;
-        write!(f, "{descriptors}: {connections} connections, {pool} to the store, {asked} of operators")
+        let Self { requests, unanswered, descriptors, connections, pool, asked, .. } = self;
+        write!(f, "{descriptors} descriptors: {connections} connections, {pool} to the store, {asked} of operators; ")?;
+        write!(f, "{requests} requests, {unanswered} unanswered")
     }
 }
 
--- a/crates/matcher/src/real.rs
+++ b/crates/matcher/src/real.rs
@@ -4,7 +4,7 @@
 use super::passage::{self, Passage, Passed};
 use super::report::{FleetLink, Reporter, Status};
 use super::standings::Standings;
-use super::world::{Meeting, Readiness, Stream, World};
+use super::world::{Datagrams, Meeting, Readiness, Stream, Talks, World};
 use super::{Node, Options, Party, Reload};
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
@@ -15,8 +15,9 @@
 use cleatpulley_policy::interface::Micros;
 use socket2::{Domain, Protocol, Socket, Type};
 use std::cell::RefCell;
+use std::hash::{BuildHasher, RandomState};
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::fd::AsFd;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -361,6 +362,41 @@
     }
 }
 
+/// A socket for datagrams; it is watched for edges.
+pub struct Udp {
+    socket: Rc<UdpSocket>,
+    _watch: Watch,
+}
+
+impl Datagrams for Udp {
+    fn send(&self, to: SocketAddr, datagram: &[u8]) -> io::Result<()> {
+        self.socket.send_to(datagram, to).map(|_| ())
+    }
+
+    fn receive(&self, buffer: &mut [u8]) -> io::Result<(usize, SocketAddr)> {
+        self.socket.recv_from(buffer)
+    }
+}
+
+impl Talks for Real {
+    type Datagrams = Udp;
+
+    fn datagrams(&self, address: SocketAddr, place: usize) -> io::Result<(Udp, SocketAddr)> {
+        let named = |e: io::Error| io::Error::new(e.kind(), format!("{address}: {e}"));
+        let socket = UdpSocket::bind(address).map_err(named)?;
+        socket.set_nonblocking(true)?;
+        let at = socket.local_addr()?;
+        let socket = Rc::new(socket);
+        let watch = self.watch_for(Rc::clone(&socket), Mode::Edge, move |node| node.acceptable(place))?;
+        Ok((Udp { socket, _watch: watch }, at))
+    }
+
+    fn random(&self) -> u64 {
+        // The system's own numbers, as std draws them for its maps.
+        RandomState::new().hash_one(self.clock.unix)
+    }
+}
+
 /// What a process gets from the daemon of a fleet that has started it.
 #[derive(Default)]
 pub struct Hosted {
--- a/crates/matcher/src/world.rs
+++ b/crates/matcher/src/world.rs
@@ -192,3 +192,33 @@
     /// Those of the system.
     fn keeper(&self, folder: PathBuf, seed: u64) -> io::Result<Self::Keeper>;
 }
+
+/// A socket for datagrams, open until this is dropped. Nothing waits.
+pub trait Datagrams {
+    /// Sends one.
+    ///
+    /// # Errors
+    /// Those of the system.
+    fn send(&self, to: SocketAddr, datagram: &[u8]) -> io::Result<()>;
+
+    /// The next that has come, how long it is, and where from.
+    ///
+    /// # Errors
+    /// [`WouldBlock`](io::ErrorKind::WouldBlock) where none has, and those of the system.
+    fn receive(&self, buffer: &mut [u8]) -> io::Result<(usize, SocketAddr)>;
+}
+
+/// A host on which processes talk among each other.
+pub trait Talks: World {
+    /// A socket for datagrams.
+    type Datagrams: Datagrams;
+
+    /// Listens for datagrams; whoever is served is told of them by this number. Returns where that is.
+    ///
+    /// # Errors
+    /// Those of the system.
+    fn datagrams(&self, address: SocketAddr, place: usize) -> io::Result<(Self::Datagrams, SocketAddr)>;
+
+    /// A random number.
+    fn random(&self) -> u64;
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,6 +8,7 @@
 #![warn(missing_docs)]
 
 pub mod callers;
+pub mod cluster;
 pub mod directory;
 pub mod flood;
 pub mod host;
@@ -19,6 +20,7 @@
 pub mod store;
 pub mod target;
 pub mod trial;
+pub mod wires;
 
 use cleatpulley_policy::interface::Micros;
 use std::net::SocketAddr;
--- a/crates/standin/src/matcher.rs
+++ b/crates/standin/src/matcher.rs
@@ -245,6 +245,29 @@
         }
     }
 
+    fn signal(&self, signal: Signal) -> io::Result<()> {
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        let pid = pid.ok_or_else(|| io::Error::other("it has no number"))?;
+        kill_process(pid, signal)?;
+        Ok(())
+    }
+
+    /// Lets it stand still until [`resume`](Self::resume).
+    ///
+    /// # Errors
+    /// Where it is gone.
+    pub fn pause(&self) -> io::Result<()> {
+        self.signal(Signal::STOP)
+    }
+
+    /// Lets it go on.
+    ///
+    /// # Errors
+    /// Where it is gone.
+    pub fn resume(&self) -> io::Result<()> {
+        self.signal(Signal::CONT)
+    }
+
     /// Waits for its end.
     ///
     /// # Errors
--- a/src/main.rs
+++ b/src/main.rs
@@ -16,14 +16,17 @@
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use cleatpulley::config::{Config, Sources};
-use cleatpulley::matcher::real::Hosted;
+use cleatpulley::matcher::peers;
+use cleatpulley::matcher::real::{serve_with, Hosted, Real, Served};
 use cleatpulley::matcher::report::FleetLink;
-use cleatpulley::matcher::Options;
-use cleatpulley::operator::Operator;
+use cleatpulley::matcher::{Node, Options};
+use cleatpulley::operator::{cluster, Operator};
+use cleatpulley_gateway::Gateway;
+use cleatpulley_membership::Role;
 use std::io::Write;
 use std::net::TcpListener;
 use std::os::fd::AsFd;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tracing_subscriber::filter::Targets;
 use tracing_subscriber::layer::SubscriberExt;
@@ -188,6 +191,24 @@
     }
 }
 
+/// A matcher's section on the other processes, where its operator file has one.
+fn cluster_of(file: Option<&Path>, name: &str) -> Result<Option<peers::Options>, String> {
+    let load = |file| cluster::load(file, Role::Matcher, name).map_err(|e| e.to_string());
+    file.map(load).transpose().map(Option::flatten)
+}
+
+/// Lets what is served hear of the other processes, where that is set.
+fn accompany(
+    world: Real,
+    served: Box<dyn Served>,
+    cluster: Option<peers::Options>,
+) -> std::io::Result<Box<dyn Served>> {
+    let Some(options) = cluster else { return Ok(served) };
+    let peers = peers::Peers::new(world, options)
+        .map_err(|e| std::io::Error::new(e.kind(), format!("cluster: {e}")))?;
+    Ok(Box::new(peers::Accompanied::new(served, peers)))
+}
+
 fn line(what: std::fmt::Arguments<'_>) {
     match writeln!(std::io::stdout(), "{what}") {
         Err(e) if e.kind() == std::io::ErrorKind::BrokenPipe => std::process::exit(0),
@@ -247,16 +268,25 @@
         Command::Standin(args) => tools::standin::run(&args)?,
         Command::Route { operator, check } => {
             let options = cleatpulley::operator::gateway::load(&operator).map_err(|e| e.to_string())?;
+            let cluster =
+                cluster::load(&operator, Role::Gateway, &options.name).map_err(|e| e.to_string())?;
             if check {
                 options.settings.routes.lines().iter().for_each(|line| say!("{line}"));
+                say!("{}", cluster::show(cluster.as_ref()));
                 return Ok(ExitCode::SUCCESS);
             }
             let reload = move || cleatpulley::operator::gateway::load(&operator).map_err(|e| e.to_string());
-            cleatpulley_gateway::serve(options, Box::new(reload), Hosted::default())
-                .map_err(|e| e.to_string())?;
+            let gateway = |world| Gateway::new(world, options, Box::new(reload));
+            serve_with(Hosted::default(), |world| {
+                let gateway = Box::new(gateway(world.clone())?);
+                accompany(world, gateway, cluster)
+            })
+            .map_err(|e| e.to_string())?;
         }
         Command::Serve(serve) => {
+            let file = serve.sourced.operator.clone();
             let (config, operator, sources) = serve.sourced.load()?;
+            let cluster = cluster_of(file.as_deref(), &config.name)?;
             let link = serve.fleet_socket.zip(serve.fleet_instance);
             let link = link.map(|(socket, (incarnation, token))| FleetLink { socket, incarnation, token });
             let reload = move || Config::load(&sources).map(|config| config.parties());
@@ -267,15 +297,17 @@
             let shares_addresses = meets_in.is_some();
             let options =
                 Options { shares_listener: listener.is_some(), meets_in, ..config.options(operator) };
-            cleatpulley::matcher::serve(
-                options,
-                Box::new(reload),
-                Hosted { link, listener, shares_addresses },
-            )
+            let hosted = Hosted { link, listener, shares_addresses };
+            serve_with(hosted, |world| {
+                let node = Box::new(Node::new(world.clone(), options, Box::new(reload))?);
+                accompany(world, node, cluster)
+            })
             .map_err(|e| e.to_string())?;
         }
         Command::CheckConfig(sourced) => {
+            let file = sourced.operator.clone();
             let (config, operator, _) = sourced.load()?;
+            let cluster = cluster_of(file.as_deref(), &config.name)?;
             say!(
                 "{}: listens on {}, runtime {}, store {}, directory {}; {} classes ({}), {} cores, {} sockets",
                 config.name,
@@ -289,6 +321,7 @@
                 config.sockets,
             );
             say!("{operator}");
+            say!("{}", cluster::show(cluster.as_ref()));
         }
         Command::Version => {
             say!("cleatpulley {}", env!("CARGO_PKG_VERSION"));
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -2,6 +2,7 @@
 //! subsystem, all off unless they are there; read in this one place.
 
 pub mod admission;
+pub mod cluster;
 pub mod fleet;
 pub mod gateway;
 mod results;
@@ -92,6 +93,9 @@
     /// Read by [`gateway::load`]: a gateway is a process of its own.
     #[serde(rename = "gateway")]
     _gateway: Option<serde::de::IgnoredAny>,
+    /// Read by [`cluster::load`]: it concerns gateways as well.
+    #[serde(rename = "cluster")]
+    _cluster: Option<serde::de::IgnoredAny>,
 }
 
 #[derive(Deserialize)]
@@ -253,6 +257,30 @@
     }
 }
 
+/// Reads what one subsystem wants of an operator file, and checks it beside the file's folder.
+///
+/// # Errors
+/// File, line where it is known, key, and what is wrong there.
+fn read_section<F: serde::de::DeserializeOwned, T>(
+    file: &Path,
+    check: impl FnOnce(F, &Path) -> Result<T, Wrong>,
+) -> Result<T, Fault> {
+    let json = evaluate(file)?;
+    let source = std::fs::read_to_string(file).unwrap_or_default();
+    let folder = file.parent().map(Path::to_owned).unwrap_or_default();
+    let mut reader = serde_json::Deserializer::from_str(&json);
+    let read = serde_path_to_error::deserialize(&mut reader).map_err(|e| {
+        let (key, what) = (e.path().to_string(), e.inner().to_string());
+        // Lines of the evaluated text mean nothing to whoever wrote the template.
+        let what = what.split(" at line ").next().unwrap_or_default().to_owned();
+        (if key == "." { String::new() } else { key }, what)
+    });
+    read.and_then(|read| check(read, &folder)).map_err(|(key, what)| {
+        let line = locate(&source, &key, &what);
+        Fault { file: file.to_owned(), line, key, what }
+    })
+}
+
 /// Runs a template; the result is JSON.
 ///
 /// # Errors
--- a/src/operator/gateway.rs
+++ b/src/operator/gateway.rs
@@ -1,6 +1,6 @@
 //! The section on a gateway: where callers come, which routes hold, where targets are.
 
-use super::{addresses, evaluate, locate, packet_size, wrong, Fault, Wrong};
+use super::{addresses, packet_size, read_section, wrong, Fault, Wrong};
 use crate::nginx;
 use cleatpulley_gateway::core::{Class, Settings};
 use cleatpulley_gateway::upstream::{Names, Speaks};
@@ -169,26 +169,8 @@
 /// # Errors
 /// File, line where it is known, key, and what is wrong there.
 pub fn load(file: &Path) -> Result<Options, Fault> {
-    let json = evaluate(file)?;
-    let source = std::fs::read_to_string(file).unwrap_or_default();
-    let folder = file.parent().map(Path::to_owned).unwrap_or_default();
-    let read = || -> Result<Options, Wrong> {
-        let mut reader = serde_json::Deserializer::from_str(&json);
-        let file: File = serde_path_to_error::deserialize(&mut reader).map_err(|e| {
-            let what = e.inner().to_string();
-            let key = e.path().to_string();
-            (
-                if key == "." { String::new() } else { key },
-                what.split(" at line ").next().unwrap_or_default().to_owned(),
-            )
-        })?;
-        file.gateway.check(&folder).map_err(|(key, what)| (format!("gateway.{key}"), what))
-    };
-    read().map_err(|(key, what)| Fault {
-        file: file.to_owned(),
-        line: locate(&source, &key, &what),
-        key,
-        what,
+    read_section(file, |file: File, folder| {
+        file.gateway.check(folder).map_err(|(key, what)| (format!("gateway.{key}"), what))
     })
 }
 
