Notice another regime by the time before, bound work by predictions, add make check-saturation

A machine slowed to a third passed for one with fewer servers, since the curve that it was judged by had already taken in the slow stretch; it is judged by the time before now, and more in hand than ever should end no less than the most did. Ruled out: curves extrapolated beyond what was seen (no alarm at all under a crowd). A bound reacts by itself and is moved by narrow predictions within stated limits.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The tasks of this repository; each is what its name says.
 CONFIG ?= $(GW_CONFIG)
 
-.PHONY: build test lint run demo check-ajp bench-ajp check-keep bench-keep check-results bench-results check-seeds bench-seeds check-fleet bench-fleet check-routes bench-routes check-service bench-service check-admission bench-admission
+.PHONY: build test lint run demo check-ajp bench-ajp check-keep bench-keep check-results bench-results check-seeds bench-seeds check-fleet bench-fleet check-routes bench-routes check-service bench-service check-admission bench-admission check-saturation
 build:
 	cargo build --locked --release
 
@@ -50,6 +50,11 @@
 	cargo build --locked --release --features planted --target-dir target/planted
 	target/planted/release/cleatpulley check admission
 
+# How well the queueing model tells where upstreams saturate, and what a bound by it serves; 1 where it falls short.
+check-saturation:
+	cargo build --locked --release -p cleatpulley-saturation-bench
+	target/release/cleatpulley-saturation-bench
+
 check-seeds bench-seeds:
 	cargo build --locked --release --features planted --target-dir target/planted
 	target/planted/release/cleatpulley check seeds
--- a/crates/saturation/src/curve.rs
+++ b/crates/saturation/src/curve.rs
@@ -39,6 +39,7 @@
 /// Steps of the servers beyond those that are counted one by one.
 const STEP: f64 = 1.12;
 const COUNTED: usize = 12;
+const MOST_STEPS: f64 = 24.0;
 /// Servers that may be there for each that was seen at work: more can't be told from what was seen.
 const BEYOND: f64 = 3.0;
 /// Work that is in hand together ends together, and one number in hand follows from the one before: so much of the counts is
@@ -97,10 +98,12 @@
     let most = (BEYOND * largest).max(4.0);
     let counted = (1..=COUNTED).map(|servers| servers as f64);
     let mut more = Vec::new();
-    let mut next = COUNTED as f64 * STEP;
+    // A crowd makes the steps longer, and not more: the time of a fit is bounded.
+    let step = STEP.max((most / COUNTED as f64).powf(1.0 / MOST_STEPS));
+    let mut next = COUNTED as f64 * step;
     while next <= most {
         more.push(next);
-        next *= STEP;
+        next *= step;
     }
     counted.chain(more).filter(|servers| *servers <= most).collect()
 }
--- a/crates/saturation/src/lib.rs
+++ b/crates/saturation/src/lib.rs
@@ -21,6 +21,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod bound;
 pub mod curve;
 mod seen;
 mod upstream;
--- a/crates/saturation/src/upstream.rs
+++ b/crates/saturation/src/upstream.rs
@@ -52,8 +52,6 @@
     /// Ends a second by stretch, the newest last.
     rates: [f64; 16],
     regimes: u32,
-    /// The curve by which what comes is judged.
-    known: Option<Fit>,
 }
 
 impl Upstream {
@@ -70,7 +68,6 @@
             at: 0,
             rates: [0.0; 16],
             regimes: 0,
-            known: None,
         }
     }
 
@@ -108,7 +105,6 @@
         self.pass(now);
         let seen = self.seen();
         let fit = curve::fit(&seen);
-        self.known = fit.or(self.known);
         let (ends, time) = seen.total();
         let rate = if time > 0.0 { ends / time } else { 0.0 };
         let (took, count) = seen.times();
@@ -143,7 +139,6 @@
         if self.is_another_regime() {
             // What was seen before says nothing of it.
             self.seen = Seen::default();
-            self.known = None;
             self.regimes += 1;
         } else {
             let keep = 0.5f64.powf(stretch / self.limits.half_life as f64);
@@ -154,10 +149,13 @@
         self.since = self.at;
     }
 
-    /// Whether what ended in this stretch is far off what the curve gives for the numbers that were in hand.
+    /// Whether what ended in this stretch is far off what was seen before gives for the numbers that were in hand. More in hand than
+    /// ever before should end no less than the most did: how a curve goes on is not known, and no reason for an alarm.
     fn is_another_regime(&self) -> bool {
-        let Some(fit) = self.known else { return false };
-        let expected: f64 = self.now.busy().map(|cell| cell.time * fit.best.rate(cell.number())).sum();
+        let Some(fit) = curve::fit(&self.seen) else { return false };
+        let largest = self.seen.largest();
+        let rate = |number: f64| fit.best.rate(number.min(largest));
+        let expected: f64 = self.now.busy().map(|cell| cell.time * rate(cell.number())).sum();
         let ends: f64 = self.now.busy().map(|cell| cell.ends).sum();
         // Of ends that come together there is more chance than a Poisson count has.
         let sigma = (2.0 * expected.max(4.0)).sqrt();
