--- a/src/operator/cluster.rs
+++ b/src/operator/cluster.rs
@@ -1,6 +1,7 @@
 //! The section on the other processes of the installation: who they are asked for, and by which keys they are believed.
 
-use super::{read_section, wrong, Fault, Wrong};
+use super::section::read_section;
+use super::{wrong, Fault, Wrong};
 use cleatpulley_matcher::peers::{Options, Rekey};
 use cleatpulley_membership::seal::Keys;
 use cleatpulley_membership::{Identity, Label, Role, Settings};
--- a/src/operator/gateway.rs
+++ b/src/operator/gateway.rs
@@ -1,6 +1,7 @@
 //! The section on a gateway: where callers come, which routes hold, where targets are.
 
-use super::{addresses, packet_size, read_section, wrong, Fault, Wrong};
+use super::section::read_section;
+use super::{addresses, packet_size, wrong, Fault, Wrong};
 use crate::nginx;
 use cleatpulley_gateway::core::{Class, Settings};
 use cleatpulley_gateway::upstream::{Names, Speaks};
