--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -21,10 +21,13 @@
 pub use cleatpulley_results::history;
 
 mod counts;
+mod dues;
+mod entry;
 mod keyed;
 mod trace;
 mod words;
 
+use entry::{Entry, Stage};
 use keyed::Meeting;
 
 pub use counts::{Counts, Tally};
@@ -36,43 +39,6 @@
 /// Older gauges tell the controller nothing about the present.
 const GAUGE_AGE: Micros = 100_000;
 
-#[derive(Debug)]
-enum Stage {
-    Held,
-    Running,
-    /// A run waits for its call, which was not made yet or has to be made again.
-    AtCall,
-    Calling,
-    /// To run once its intent is durable: as good as running to the controller, and nothing was sent.
-    Starting,
-    /// Its run is over, and its result is not durable yet.
-    Ending,
-    /// Waits for how its key ends, or for that to be read.
-    Waiting,
-}
-
-/// A request that owes an answer or still runs.
-#[derive(Debug)]
-struct Entry {
-    origin: Origin,
-    class: usize,
-    door: Micros,
-    due: Micros,
-    answered: bool,
-    /// Its start may never have reached the runtime, and then no end will be told.
-    doubtful: bool,
-    stage: Stage,
-    /// It carries a key that is kept.
-    keyed: bool,
-    /// What the controller was told of it, for a try that may have to be decided on anew.
-    request: Request,
-    /// The request's body; kept beyond the start only where a start may be sent again.
-    body: Vec<u8>,
-    /// The last call that the run wanted, or the number of its recall.
-    notice: u64,
-    call: Vec<u8>,
-}
-
 /// The core of a matcher.
 pub struct Exchange {
     controller: Controller,
@@ -297,34 +263,6 @@
         [events, timer, due, keys].into_iter().flatten().min()
     }
 
-    /// Everything is due before the stop, also what the controller does not know of, or knows no more: a result that
-    /// waits to be durable, a repeat that waits for one to be read.
-    fn begin_drain(&mut self, stop_at: Micros, event: Event) {
-        // After the controller's own time for that, which knows better what to say.
-        let last = stop_at.saturating_sub(self.settings.answer_slack);
-        self.last_due = last;
-        for (due, id) in std::mem::take(&mut self.dues) {
-            let due = due.min(last);
-            self.dues.insert((due, id));
-            if let Some(entry) = self.entries.get_mut(&id) {
-                entry.due = due;
-            }
-        }
-        self.events.push(event);
-    }
-
-    /// Guards against an answer that the controller does not give: half of the slack is left to send it.
-    fn grace(&self) -> Micros {
-        let late = if planted(Bug::DueLate) { 250_000 } else { 0 };
-        self.settings.answer_slack / 2 + late
-    }
-
-    /// When the exchange answers by itself what is due then. Guards against the stop: what was read shortly before it has no
-    /// slack of its own.
-    fn answers_at(&self, due: Micros) -> Micros {
-        due.min(self.last_due).saturating_add(self.grace())
-    }
-
     fn start(&mut self, now: Micros, since: Micros, commands: &mut Vec<Command>) {
         if self.started {
             return;
@@ -647,16 +585,4 @@
             self.leave_key(now, id, commands);
         }
     }
-
-    fn keep_dues(&mut self, now: Micros, commands: &mut Vec<Command>) {
-        while let Some(&(due, id)) = self.dues.first() {
-            if self.answers_at(due) > now {
-                return;
-            }
-            self.events.push(Event::Gone(id));
-            let refused = Answer::Refused { later: 0, last: false };
-            let answer = if planted(Bug::RefusedAfterRun) { refused } else { Answer::Expired };
-            self.answer(now, id, answer, commands);
-        }
-    }
 }
