Count a key's window from the try that ran, not from the first that came

A repeat inside the window of the try that ran found no entry and would run again. Ruled out: the log's order. Entries enter it when they start, so that an expiry set at the start keeps it.

`History::run` postpones the expiry to the window of the run. The new case fails without it (a repeat at 120 is First where it has to be Known).

--- a/crates/results/src/history.rs
+++ b/crates/results/src/history.rs
@@ -22,7 +22,7 @@
     pub entries: usize,
     /// Bytes of results.
     pub bytes: usize,
-    /// How long a key is remembered from its first try on.
+    /// How long a key is remembered from its run on, or from its first try where nothing ran.
     pub window: Micros,
     /// Where something written is not durable after this time, the store counts as stalled.
     pub stall: Micros,
@@ -349,6 +349,8 @@
             self.give_up(place, effects);
             return;
         }
+        // The window is that of the try that runs: one that took a first's place came later.
+        self.table.postpone(place, now + self.bounds.window);
         let ticket = self.ticket(now, place);
         if let Some(open) = self.open_at(place) {
             open.stage = Stage::Intent(ticket);
--- a/crates/results/src/table.rs
+++ b/crates/results/src/table.rs
@@ -114,6 +114,14 @@
         Place { slot, generation: self.slots[slot as usize].generation }
     }
 
+    /// The entry may be forgotten then, where that is later than was told. Only before [`age`](Self::age).
+    pub fn postpone(&mut self, place: Place, expiry: Micros) {
+        let slot = self.slots.get_mut(place.slot as usize).filter(|s| s.generation == place.generation);
+        if let Some(entry) = slot.and_then(|slot| slot.entry.as_mut()) {
+            entry.expiry = entry.expiry.max(expiry);
+        }
+    }
+
     /// From now on the entry ages out; once for each entry.
     pub fn age(&mut self, place: Place) {
         self.log.push_back(place);
--- a/crates/results/tests/history.rs
+++ b/crates/results/tests/history.rs
@@ -143,6 +143,23 @@
     assert!(keys.history.is_empty());
 }
 
+/// The window counts from the try that ran. Guards against a second run where the first try was given up late in its time and
+/// another, which came later, took its place.
+#[test]
+fn the_window_is_that_of_the_try_that_ran() {
+    let mut keys = keys();
+    keys.arrive(0, 1, 1);
+    keys.arrive(60, 2, 1);
+    keys.history.gives_way(1, &mut keys.effects);
+    assert_eq!(std::mem::take(&mut keys.effects), [Effect::Promote(2)]);
+    assert!(matches!(&keys.run(70, 2)[..], [Effect::Write { expiry: 170, .. }]));
+    keys.durable(u64::MAX);
+    keys.ended(80, 2, served("x"));
+    keys.durable(u64::MAX);
+    assert_eq!(keys.arrive(120, 3, 1), Verdict::Known, "a window from the first try would be over");
+    assert_eq!((keys.arrive(169, 4, 1), keys.arrive(170, 5, 1)), (Verdict::Known, Verdict::First));
+}
+
 /// A start that may be lost: who waits waits on, nobody new does, and a late end is told after all.
 #[test]
 fn a_start_in_doubt_may_still_end() {
