Hold signals back from the first line of serve, so that none ends a process that starts

Seen by reading: SIGTERM, SIGINT and SIGHUP were taken up in `serve_with`, after `Config::load` and the operator file. Until then they had their usual meaning: a SIGHUP in the first moments ended the process, and a notice to leave ended it by signal instead of in order.

`HeldSignals` blocks them before anything is read, for `serve` and `route`; they are heard with the first turn.

--- a/crates/matcher/src/real.rs
+++ b/crates/matcher/src/real.rs
@@ -397,9 +397,27 @@
     }
 }
 
-/// What a process gets from the daemon of a fleet that has started it.
+/// The signals that the program hears: SIGTERM, SIGINT and SIGHUP. Held back from the moment at which this is made, and
+/// heard once it serves. Guards against a notice or a new configuration in the first moments of a process, whose usual
+/// meaning is its death.
+pub struct HeldSignals(Signals);
+
+impl HeldSignals {
+    /// Holds them back from here on; threads begun later do so too.
+    ///
+    /// # Errors
+    /// Those of the system.
+    pub fn hold() -> io::Result<Self> {
+        let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]);
+        signals.map(Self).map_err(io::Error::other)
+    }
+}
+
+/// What a process gets from whoever has started it, and what it has from its first moments.
 #[derive(Default)]
 pub struct Hosted {
+    /// Signals held back so far; they are held from here on where there is none.
+    pub signals: Option<HeldSignals>,
     /// Where the daemon listens.
     pub link: Option<FleetLink>,
     /// A listening socket that instances share.
@@ -428,8 +446,7 @@
     let mut event_loop: EventLoop<'static, Box<dyn Served>> =
         EventLoop::try_new().map_err(io::Error::other)?;
     let handle = event_loop.handle();
-    let signals =
-        Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]).map_err(io::Error::other)?;
+    let HeldSignals(signals) = hosted.signals.map_or_else(HeldSignals::hold, Ok)?;
     let heard = |event: calloop::signals::Event, (): &mut (), node: &mut Box<dyn Served>| match event.signal()
     {
         Signal::SIGHUP => node.reload(),
@@ -467,3 +484,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/main.rs
+++ b/src/main.rs
@@ -17,7 +17,7 @@
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use cleatpulley::config::{Config, Sources};
 use cleatpulley::matcher::peers;
-use cleatpulley::matcher::real::{serve_with, Hosted, Real, Served};
+use cleatpulley::matcher::real::{serve_with, HeldSignals, Hosted, Real, Served};
 use cleatpulley::matcher::report::FleetLink;
 use cleatpulley::matcher::{Node, Options};
 use cleatpulley::operator::{cluster, Operator};
@@ -191,6 +191,11 @@
     }
 }
 
+/// The signals that a process which serves hears, held back while it reads its configuration.
+fn hold_signals() -> Result<Option<HeldSignals>, String> {
+    HeldSignals::hold().map(Some).map_err(|e| format!("signals: {e}"))
+}
+
 /// A matcher's section on the other processes, where its operator file has one.
 fn cluster_of(file: Option<&Path>, name: &str) -> Result<Option<peers::Options>, String> {
     let load = |file| cluster::load(file, Role::Matcher, name).map_err(|e| e.to_string());
@@ -267,6 +272,7 @@
         Command::Demo => tools::demo::run()?,
         Command::Standin(args) => tools::standin::run(&args)?,
         Command::Route { operator, check } => {
+            let signals = if check { None } else { hold_signals()? };
             let options = cleatpulley::operator::gateway::load(&operator).map_err(|e| e.to_string())?;
             let cluster =
                 cluster::load(&operator, Role::Gateway, &options.name).map_err(|e| e.to_string())?;
@@ -277,13 +283,14 @@
             }
             let reload = move || cleatpulley::operator::gateway::load(&operator).map_err(|e| e.to_string());
             let gateway = |world| Gateway::new(world, options, Box::new(reload));
-            serve_with(Hosted::default(), |world| {
+            serve_with(Hosted { signals, ..Hosted::default() }, |world| {
                 let gateway = Box::new(gateway(world.clone())?);
                 accompany(world, gateway, cluster)
             })
             .map_err(|e| e.to_string())?;
         }
         Command::Serve(serve) => {
+            let signals = hold_signals()?;
             let file = serve.sourced.operator.clone();
             let (config, operator, sources) = serve.sourced.load()?;
             let cluster = cluster_of(file.as_deref(), &config.name)?;
@@ -297,7 +304,7 @@
             let shares_addresses = meets_in.is_some();
             let options =
                 Options { shares_listener: listener.is_some(), meets_in, ..config.options(operator) };
-            let hosted = Hosted { link, listener, shares_addresses };
+            let hosted = Hosted { signals, link, listener, shares_addresses };
             serve_with(hosted, |world| {
                 let node = Box::new(Node::new(world.clone(), options, Box::new(reload))?);
                 accompany(world, node, cluster)
