Wait for late answers of the directory beside the next report, so that reports count

Seen by reading: a report counts once it is answered 204, and `Directory` closed its one connection after 0.6 s without an answer. A directory that takes longer, but less than the 3 s after which an entry lapses, never had a report counted: the matcher was ready, not on the list, and heard of nobody.

A change of state still waits for a report on its way, which it could overtake. What follows an answer belongs to no report and ends the connection.

`exchanges/directory_slow` fails without it (the first connection is closed). New recordings that held before: directory_away (idle callers on all places), nobody_comes, drain_at_once (request, half a request, notice to leave and break of the link there at once, by SIGSTOP and SIGCONT), reload_in_drain, leave_before_ready, silent_reader_at_the_stop.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -175,7 +175,7 @@
         match party {
             Party::Front(number) => self.front.note(number, readiness),
             Party::Target(number) => self.upstream.note(number, readiness),
-            Party::Runtime | Party::Store(_) | Party::Directory | Party::Operator(_) => {}
+            Party::Runtime | Party::Store(_) | Party::Directory(_) | Party::Operator(_) => {}
             Party::Predecessor | Party::Successor => {}
         }
     }
--- a/crates/matcher/src/lib.rs
+++ b/crates/matcher/src/lib.rs
@@ -238,8 +238,7 @@
         let (calls, pool) = self.store.census();
         let asked = self.operators.as_ref().map_or(0, |operators| operators.connections() + 1);
         let passes = self.upgrade.as_ref().map_or(0, upgrade::Upgrade::descriptors);
-        let links =
-            usize::from(self.runtime.linked()) + usize::from(self.directory.linked()) + self.front.spares();
+        let links = usize::from(self.runtime.linked()) + self.directory.links() + self.front.spares();
         Census {
             requests: self.exchange.requests(),
             unanswered: self.exchange.unanswered(),
@@ -274,7 +273,7 @@
             Party::Front(number) => self.front.note(number, readiness),
             Party::Runtime => self.runtime.note(readiness),
             Party::Store(number) => self.store.note(number, readiness),
-            Party::Directory => self.directory.note(readiness),
+            Party::Directory(number) => self.directory.note(number, readiness),
             Party::Operator(number) => {
                 if let Some(operators) = &mut self.operators {
                     operators.note(number, readiness);
--- a/crates/matcher/src/options.rs
+++ b/crates/matcher/src/options.rs
@@ -19,8 +19,8 @@
     Runtime,
     /// The store, by the number of its connection.
     Store(u64),
-    /// The directory.
-    Directory,
+    /// The directory, by the number of the connection.
+    Directory(u64),
     /// A caller at the operators' address, by the number of its connection.
     Operator(u64),
     /// The process whose place this one takes.
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -9,11 +9,13 @@
 //! - `runtime > LINE`, `runtime < LINE`: JSON, compared by value. Questions for the gauges are answered by the
 //!   player and not compared. `store` and `directory`: `\r\n` text; a `*` matches the rest of a line's part.
 //! - `PARTY accept`, `PARTY close`, `PARTY < end`: takes the program's next connection, closes one, or waits
-//!   for the program to close it. `store down` refuses connections until `store up`.
-//! - `crowd N` opens N connections that say nothing, `crowd close` closes them. `PARTY flood BYTES` sends the
+//!   for the program to close it. `store down` refuses connections until `store up`; so does the directory. A digit
+//!   behind the name, as in `directory2`, is one more connection of the program, beside the first.
+//! - `crowd N BYTES` opens N connections that say just this, `crowd close` closes them. `PARTY flood BYTES` sends the
 //!   same again and again, and reads nothing, until the program takes no more.
 //! - `reload` gives runtime, store and directory new addresses and sends SIGHUP, `reload TEXT` puts that text in
 //!   the place of the configuration; connections to the old addresses stay until `accept` or their end.
+//!   `signal NAME` sends another one: STOP and CONT put all that is played between them before the program at once.
 //! - `config KEY JSON` and `descriptors N`, the limit of the process, before the first step change the surroundings; `signal`, `exit CODE`, `log TEXT`
 //!   and `restart` are about the process.
 
@@ -163,7 +165,8 @@
     fn stream(&mut self, party: &str) -> &mut BufReader<TcpStream> {
         let address = self.start();
         if !self.streams.contains_key(party) {
-            let stream = match self.listeners.get(party) {
+            let listens = party.trim_end_matches(|c: char| c.is_ascii_digit());
+            let stream = match self.listeners.get(listens) {
                 Some(listener) => accept(listener),
                 None => TcpStream::connect(address).expect("it listens"),
             };
@@ -212,7 +215,7 @@
             self.streams.remove(party);
         } else if party == "runtime" {
             self.expect_line(text);
-        } else if party == "store" || party == "directory" {
+        } else if party == "store" || party.starts_with("directory") {
             for part in text.replace("\\r\\n", "\r\n").split_inclusive("\r\n") {
                 let mut got = vec![0; part.len()];
                 if part.ends_with("\r\n") {
@@ -255,10 +258,14 @@
             "descriptors" => self.descriptors = rest.parse().expect("a number"),
             "crowd" => {
                 let address = self.start();
-                let number = rest.parse().unwrap_or(0);
+                let (number, bytes) = rest.split_once(' ').unwrap_or((rest, ""));
+                let (number, bytes) = (number.parse().unwrap_or(0), self.bytes(bytes));
                 self.crowd = (0..number).map(|_| TcpStream::connect(address).expect("it listens")).collect();
+                for stream in &mut self.crowd {
+                    stream.write_all(&bytes).expect("the program reads");
+                }
             }
-            "signal" => self.signal("TERM"),
+            "signal" => self.signal(rest),
             "reload" => {
                 match rest {
                     "" => self.listen(),
@@ -309,9 +316,13 @@
                     self.streams.remove(party);
                 }
                 ("up", _) => {
-                    let address = self.config["store"].as_str().expect("an address");
+                    let (party, key) = match party {
+                        "directory" => ("directory", "lookup"),
+                        _ => ("store", "store"),
+                    };
+                    let address = self.config[key].as_str().expect("an address");
                     let listener = TcpListener::bind(address).expect("the port is free");
-                    self.listeners.insert("store", listener);
+                    self.listeners.insert(party, listener);
                 }
                 ("down", _) => {
                     self.start();
@@ -398,18 +409,25 @@
     bad_input,
     call_outcomes,
     drain,
+    directory_away,
+    directory_slow,
+    drain_at_once,
     due_time,
     few_descriptors,
     framing,
+    leave_before_ready,
     health_and_directory,
     loud_peer,
     many_streams,
+    nobody_comes,
     reload,
+    reload_in_drain,
     runtime_late,
     runtime_again,
     runtime_link,
     runtime_oddities,
     serve,
     silent_reader,
+    silent_reader_at_the_stop,
     store_oddities,
 }
