--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -165,7 +165,10 @@
                 }
                 commands.push(Command::Answer { to: arrival.origin, answer });
             }
-            Fact::OriginLost(connection) => self.lose_origin(now, connection, commands),
+            Fact::OriginLost(connection) => {
+                self.lose_origin(now, |origin| origin.connection == connection, commands);
+            }
+            Fact::Cancelled(origin) => self.lose_origin(now, |other| *other == origin, commands),
             Fact::CallWanted { id, notice, body } => {
                 let Some(entry) = self.entries.get_mut(&id) else { return };
                 if matches!(entry.stage, Stage::Held) {
@@ -186,6 +189,8 @@
             Fact::OrderRefused { id, order: Order::Start } => {
                 self.end_run(now, id, Outcome::Void, 0, Vec::new(), commands);
             }
+            // It ended by itself, or never was one.
+            Fact::OrderRefused { order: Order::Stop, .. } => {}
             Fact::OrderRefused { id, .. } => {
                 // The run can't go on, and nothing better is known to be done for its caller.
                 if self.answer(now, id, Answer::Failed, commands) {
@@ -313,6 +318,7 @@
             work,
             memory_kb,
             rank,
+            retry,
             has_subject,
             key,
             body,
@@ -344,7 +350,7 @@
             tenant: 0,
             waited: 0,
             work: (work > 0).then_some(work),
-            retry: false,
+            retry,
             write: settings.effect != Effect::Safe,
             has_subject,
             caller,
@@ -395,8 +401,8 @@
         self.dues.insert((due, id));
     }
 
-    fn lose_origin(&mut self, now: Micros, connection: u64, commands: &mut Vec<Command>) {
-        let lost = |e: &Entry| e.origin.connection == connection && !e.answered;
+    fn lose_origin(&mut self, now: Micros, is: impl Fn(&Origin) -> bool, commands: &mut Vec<Command>) {
+        let lost = |e: &Entry| is(&e.origin) && !e.answered;
         let mut ids: Vec<_> =
             self.entries.iter().filter(|(_, e)| lost(e)).map(|(id, e)| (e.door, *id)).collect();
         ids.sort_unstable();
@@ -542,6 +548,13 @@
                     commands.push(Command::Omit { id, notice: entry.notice });
                 }
             }
+            // Only of what is over, and never of what has an effect that its repeats are told of.
+            Action::Halt(id) => {
+                let Some(entry) = self.entries.get(&id) else { return };
+                if matches!(entry.stage, Stage::Running) && entry.answered && !entry.keyed {
+                    commands.push(Command::Stop(id));
+                }
+            }
             Action::Timer { at, token } => {
                 self.timers.insert((at, token));
             }
--- a/crates/exchange/src/words.rs
+++ b/crates/exchange/src/words.rs
@@ -32,6 +32,8 @@
     pub memory_kb: f64,
     /// Position from 0 to 1 by class and user.
     pub rank: f64,
+    /// Known to be a further try or a second copy.
+    pub retry: bool,
     /// It names a subject.
     pub has_subject: bool,
     /// What all tries of one request share, where its caller told it.
@@ -68,6 +70,8 @@
     Give,
     /// To go on without a call.
     Omit,
+    /// To stop a run.
+    Stop,
 }
 
 /// What adapters tell the exchange.
@@ -79,6 +83,8 @@
     Arrived(Arrival),
     /// A connection of the client side is gone: nobody can be answered on it.
     OriginLost(u64),
+    /// Nobody waits for this request any more.
+    Cancelled(Origin),
     /// A request was read whose caller may not ask for its class: it is answered so and never runs.
     Forbidden(Arrival),
     /// A run waits for a call with this body.
@@ -263,6 +269,8 @@
         /// The notice that asked for the call.
         notice: u64,
     },
+    /// Stop a run.
+    Stop(RequestId),
     /// Make a call.
     Call(Call),
     /// Abandon a request's call.
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -624,8 +624,8 @@
     struct NoKeeper;
 
     impl Keeper for NoKeeper {
-        fn write(&self, _: cleatpulley_exchange::history::Effect) {}
-        fn recall(&self, _: Micros, _: RequestId, _: u64, _: ScopedKey) {}
+        fn write(&mut self, _: cleatpulley_exchange::history::Effect) {}
+        fn recall(&mut self, _: Micros, _: RequestId, _: u64, _: ScopedKey) {}
         fn release(&mut self) {}
         fn stop(self) {}
     }
@@ -734,7 +734,7 @@
             Err(ErrorKind::Unsupported.into())
         }
 
-        fn keeper(&self, _: PathBuf, _: u64) -> io::Result<NoKeeper> {
+        fn keeper(&self, _: PathBuf, _: u64, _: bool) -> io::Result<NoKeeper> {
             Err(ErrorKind::Unsupported.into())
         }
     }
@@ -756,6 +756,7 @@
             work: 0,
             memory_kb: 1.0,
             rank: 0.5,
+            retry: false,
             has_subject: false,
             key: None,
             body: vec![7; 40],
--- a/crates/gateway/tests/core.rs
+++ b/crates/gateway/tests/core.rs
@@ -63,6 +63,7 @@
         work: 0,
         memory_kb: 1.0,
         rank: 0.5,
+        retry: false,
         has_subject: false,
         key: None,
         body: Vec::new(),
--- a/crates/keep/src/files.rs
+++ b/crates/keep/src/files.rs
@@ -116,6 +116,7 @@
     files: HashMap<Handle, File>,
     next: u32,
     lock: Option<File>,
+    lasting: bool,
 }
 
 impl Folder {
@@ -130,7 +131,13 @@
         } else if !path.is_dir() {
             return Err(named(&path, io::Error::new(ErrorKind::NotFound, "no such folder")));
         }
-        Ok(Self { path, files: HashMap::new(), next: 0, lock: None })
+        Ok(Self { path, files: HashMap::new(), next: 0, lock: None, lasting: true })
+    }
+
+    /// One that is to outlive its process and not its host: nothing is waited for to reach the disk.
+    #[must_use]
+    pub fn passing(self) -> Self {
+        Self { lasting: false, ..self }
     }
 
     fn keep(&mut self, file: File) -> Handle {
@@ -209,15 +216,24 @@
     }
 
     fn sync_task(&mut self, file: Handle) -> io::Result<SyncTask> {
+        if !self.lasting {
+            return Ok(Box::new(|| Ok(())));
+        }
         let file = self.file(file)?.try_clone()?;
         Ok(Box::new(move || file.sync_data()))
     }
 
     fn sync(&mut self, file: Handle) -> io::Result<()> {
+        if !self.lasting {
+            return Ok(());
+        }
         self.file(file)?.sync_data()
     }
 
     fn sync_folder(&mut self) -> io::Result<()> {
+        if !self.lasting {
+            return Ok(());
+        }
         File::open(&self.path)?.sync_all()
     }
 
--- a/crates/matcher/src/front.rs
+++ b/crates/matcher/src/front.rs
@@ -48,8 +48,8 @@
 /// What is spoken on a listening address.
 #[derive(Debug, Clone)]
 pub enum Speaks {
-    /// The frames of front ends; keys stand in the field of this name, if any.
-    Frames(Option<Rc<str>>),
+    /// The frames of front ends.
+    Frames(Rc<frame::connection::Terms>),
     /// The same for a gateway, whose routes look for this host.
     Relayed(Rc<str>),
     /// AJP/1.3, and the addresses of the proxies whose word on when a request came is believed.
@@ -59,11 +59,10 @@
 impl Speaks {
     fn machine(&self, now: Micros, peer: IpAddr) -> Spoken {
         match self {
-            Self::Frames(key_field) => {
-                Spoken::Frames(frame::connection::Connection::new(now, key_field.clone()))
-            }
+            Self::Frames(terms) => Spoken::Frames(frame::connection::Connection::new(now, Rc::clone(terms))),
             Self::Relayed(host) => {
-                Spoken::Frames(frame::connection::Connection::new(now, None).relaying(Rc::clone(host)))
+                let connection = frame::connection::Connection::new(now, Rc::default());
+                Spoken::Frames(connection.relaying(Rc::clone(host)))
             }
             Self::Ajp(settings, trusted) => {
                 Spoken::Ajp(ajp::server::Connection::new(Rc::clone(settings), now, trusted.contains(&peer)))
@@ -463,6 +462,11 @@
             self.noted.push(number);
         }
         self.secure_turn(now, number, facts);
+        // Behind the requests that came with them.
+        if let Some(peer) = self.peers.get_mut(&number) {
+            let cancelled = peer.machine.take_cancelled().into_iter();
+            facts.extend(cancelled.map(|stream| Fact::Cancelled(Origin { connection: number, stream })));
+        }
         match next {
             Ok(Next::Wait) => {}
             Ok(Next::Again) => self.again.push(number),
--- a/crates/matcher/src/handover.rs
+++ b/crates/matcher/src/handover.rs
@@ -130,7 +130,7 @@
                 upgrade.yielded(self.held(), snapshot::encode(site, now, &self.exchange.learned()), standing);
             }
             upgrade::Step::Resume => {
-                if let (Some((_, true)), Some((_, bounds))) = (self.yielded.take(), &self.kept_in) {
+                if let (Some((_, true)), Some((_, bounds, _))) = (self.yielded.take(), &self.kept_in) {
                     self.exchange.take_keys(History::new(*bounds));
                     self.close();
                     self.open_store();
@@ -157,8 +157,9 @@
 
     /// Opens the store of results, where there is one and it is not open.
     fn open_store(&mut self) {
-        let Some((folder, bounds)) = self.kept_in.clone().filter(|_| self.keeper.is_none()) else { return };
-        match self.world.keeper(folder, bounds.seed) {
+        let kept_in = self.kept_in.clone().filter(|_| self.keeper.is_none());
+        let Some((folder, bounds, lasting)) = kept_in else { return };
+        match self.world.keeper(folder, bounds.seed, lasting) {
             Ok(keeper) => self.keeper = Some(keeper),
             Err(e) => {
                 tracing::error!("results: nothing can be kept: {e}");
--- a/crates/matcher/src/keeping.rs
+++ b/crates/matcher/src/keeping.rs
@@ -27,6 +27,8 @@
 /// One that another process has open is tried again after this time, and so often before that counts as a failure.
 const LOCKED: Duration = Duration::from_millis(50);
 const LOCKED_MOST: u32 = 200;
+/// Bytes of a segment where the files count as memory: what is dead goes soon.
+const PASSING: u64 = 1_048_576;
 /// At the end what is not written yet is waited for so long.
 const FAREWELL: Duration = Duration::from_millis(500);
 
@@ -190,12 +192,28 @@
 }
 
 /// Access to the keeper; it ends when this is dropped.
-pub struct Keeping {
-    jobs: Option<Sender<Job>>,
-    over: Receiver<()>,
+pub enum Keeping {
+    /// One with a thread of its own.
+    Lasting {
+        /// None once it was released.
+        jobs: Option<Sender<Job>>,
+        /// It has ended.
+        over: Receiver<()>,
+    },
+    /// One whose files need not reach the disk, so that nothing it does is waited for.
+    Passing(Box<Passing>),
 }
 
 impl Keeping {
+    /// One that does all it is asked for at once, on files that outlive the process and not the host. What is told of it
+    /// comes with its turns.
+    #[must_use]
+    pub fn at_once(folder: PathBuf, seed: u64) -> Self {
+        let core = Core::default();
+        let passing = Passing { folder, seed, core, facts: Vec::new(), next: Some(0), released: false };
+        Self::Passing(Box::new(passing))
+    }
+
     /// Starts it. What it has to say goes to [`Node::kept`](super::Node::kept): first what the store holds, which may
     /// take a while; until then nothing is to be kept.
     ///
@@ -218,38 +236,117 @@
             // Nobody may wait for it any more.
             let _ = ended.send(());
         })?;
-        Ok(Self { jobs: Some(jobs), over })
+        Ok(Self::Lasting { jobs: Some(jobs), over })
     }
-}
 
-impl Keeping {
-    fn ask(&self, job: Job) {
-        if let Some(jobs) = &self.jobs {
-            // A keeper that is gone has said so: nothing is admitted then.
-            let _ = jobs.send(job);
+    fn ask(&mut self, job: Job) {
+        match self {
+            Self::Lasting { jobs: Some(jobs), .. } => {
+                // A keeper that is gone has said so: nothing is admitted then.
+                let _ = jobs.send(job);
+            }
+            Self::Lasting { jobs: None, .. } => {}
+            Self::Passing(passing) => passing.ask(job),
         }
     }
 }
 
 impl world::Keeper for Keeping {
-    fn write(&self, effect: Effect) {
+    fn write(&mut self, effect: Effect) {
         self.ask(Job::Write(effect));
     }
 
-    fn recall(&self, now: Micros, id: RequestId, number: u64, key: ScopedKey) {
+    fn recall(&mut self, now: Micros, id: RequestId, number: u64, key: ScopedKey) {
         self.ask(Job::Recall(now, id, number, key));
     }
 
     fn release(&mut self) {
-        self.jobs = None;
+        match self {
+            Self::Lasting { jobs, .. } => *jobs = None,
+            Self::Passing(passing) => passing.release(),
+        }
     }
 
     fn stop(mut self) {
         self.release();
-        if self.over.recv_timeout(FAREWELL).is_err() {
-            tracing::warn!("results: the store could not be closed in time; it recovers at the next start");
+        if let Self::Lasting { over, .. } = self {
+            if over.recv_timeout(FAREWELL).is_err() {
+                tracing::warn!(
+                    "results: the store could not be closed in time; it recovers at the next start"
+                );
+            }
         }
     }
+
+    fn discard(self) {
+        let folder = match &self {
+            Self::Passing(passing) => Some(passing.folder.clone()),
+            Self::Lasting { .. } => None,
+        };
+        self.stop();
+        if let Some(folder) = folder {
+            // What is left behind is in nobody's way.
+            let _ = std::fs::remove_dir_all(folder);
+        }
+    }
+
+    fn turn(&mut self, now: Micros, facts: &mut Vec<Fact>) {
+        if let Self::Passing(passing) = self {
+            passing.turn(now, facts);
+        }
+    }
+
+    fn next(&self) -> Option<Micros> {
+        match self {
+            Self::Lasting { .. } => None,
+            Self::Passing(passing) => passing.next,
+        }
+    }
+}
+
+/// A keeper without a thread.
+pub struct Passing {
+    folder: PathBuf,
+    seed: u64,
+    core: Core<Folder>,
+    facts: Vec<Fact>,
+    /// When the store is opened, or looked after.
+    next: Option<Micros>,
+    released: bool,
+}
+
+impl Passing {
+    fn ask(&mut self, job: Job) {
+        self.core.work(&mut std::iter::once(job), &mut self.facts);
+        self.core.sync(&mut self.facts);
+        self.next = self.next.or(Some(0));
+    }
+
+    fn turn(&mut self, now: Micros, facts: &mut Vec<Fact>) {
+        if self.next.is_some_and(|at| now >= at) && !self.released {
+            if self.core.is_open() {
+                let more = self.core.maintain(now, PIECE, &mut self.facts);
+                self.next = more.then_some(now + REST.as_micros() as Micros);
+            } else {
+                let folder = Folder::new(&self.folder, true).map(Folder::passing).map_err(Error::folder);
+                let options = Options { segment_bytes: PASSING, seed: self.seed, ..Options::default() };
+                let opened = folder.and_then(|folder| Journal::open(folder, options, now));
+                self.core.open(opened, &mut self.facts);
+                let wait = match (self.core.is_open(), self.core.is_locked()) {
+                    (true, _) => None,
+                    (false, true) => Some(LOCKED),
+                    (false, false) => Some(RETRY),
+                };
+                self.next = wait.map(|wait| now + wait.as_micros() as Micros);
+            }
+        }
+        facts.append(&mut self.facts);
+    }
+
+    fn release(&mut self) {
+        self.core.close();
+        (self.next, self.released) = (None, true);
+    }
 }
 
 struct Thread {
--- a/crates/matcher/src/lib.rs
+++ b/crates/matcher/src/lib.rs
@@ -30,6 +30,7 @@
 use cleatpulley_policy::interface::Micros;
 use cleatpulley_policy::interface::Settings;
 use cleatpulley_policy::plant::{planted, Bug};
+use cleatpulley_protocol::frame::connection::Terms;
 use cleatpulley_protocol::mgmt;
 use cleatpulley_upgrade::Held;
 use std::cell::RefCell;
@@ -66,7 +67,7 @@
     directory: directory::Directory<W>,
     keeper: Option<W::Keeper>,
     /// The folder and the bounds of what is kept.
-    kept_in: Option<(PathBuf, Bounds)>,
+    kept_in: Option<(PathBuf, Bounds, bool)>,
     /// Earned standing, where it is kept, for how many addresses, and when it is written next.
     standings: Option<W::Standings>,
     standings_in: Option<(PathBuf, usize)>,
@@ -122,9 +123,9 @@
         if let Some(tls) = &tls {
             front.set_tls(world.now(), Rc::clone(tls));
         }
-        let key_field =
-            options.results.as_ref().and_then(|results| results.frame_field.as_deref()).map(Rc::from);
-        let mut doors = vec![(options.listen, front::Speaks::Frames(key_field))];
+        let key_field = options.results.as_ref().and_then(|results| results.frame_field.clone());
+        let terms = Rc::new(Terms { key_field, cancels: options.settings.tells_gone });
+        let mut doors = vec![(options.listen, front::Speaks::Frames(terms))];
         if let Some(ajp) = options.ajp {
             let (settings, trusted) = (Rc::new(ajp.settings), Rc::new(ajp.trusted));
             let speaks = |_| front::Speaks::Ajp(Rc::clone(&settings), Rc::clone(&trusted));
@@ -174,10 +175,10 @@
         let (exchange, keeper) = match options.results {
             None => (Exchange::new(options.settings, options.seed), None),
             Some(results) => {
-                let Results { classes, required, owner, bounds, entry_kb, .. } = results;
-                kept_in = Some((results.folder.clone(), bounds));
+                let Results { classes, required, owner, bounds, entry_kb, lasting, .. } = results;
+                kept_in = Some((results.folder.clone(), bounds, lasting));
                 // A process that takes another's place has the store once that one has let go of it.
-                let keeper = alone.then(|| world.keeper(results.folder, bounds.seed)).transpose()?;
+                let keeper = alone.then(|| world.keeper(results.folder, bounds.seed, lasting)).transpose()?;
                 let keys = Keys::new(classes, required, owner, History::new(bounds));
                 let settings = Settings { entry_kb, ..options.settings };
                 (Exchange::with_keys(settings, options.seed, keys), keeper)
@@ -258,8 +259,11 @@
         if let Some(upgrade) = &mut self.upgrade {
             upgrade.farewell(held);
         }
-        if let Some(keeper) = self.keeper.take() {
-            keeper.stop();
+        match self.keeper.take() {
+            // Another process may take this one's place, or has it: its keys are the matcher's.
+            Some(keeper) if self.upgrade.is_some() => keeper.stop(),
+            Some(keeper) => keeper.discard(),
+            None => {}
         }
         self.write_standings(self.world.now());
         if let Some(standings) = self.standings.take() {
@@ -354,7 +358,9 @@
             // its end, which would else take it for dead, and whose share the successor hears of only here.
             let waits = |upgrade: &upgrade::Upgrade<W>| upgrade.has_predecessor() || upgrade.is_orphaned();
             let before = self.upgrade.as_ref().is_some_and(waits);
-            now >= at || (quiet && self.succeeded && !before) || (quiet && now + FAREWELL / 2 >= at)
+            // What runs with an effect is told to its repeats by whoever has the place.
+            let ends = self.exchange.history().is_none_or(|history| history.runs() == 0);
+            now >= at || (quiet && self.succeeded && !before && ends) || (quiet && now + FAREWELL / 2 >= at)
         })
     }
 
@@ -398,6 +404,9 @@
         for command in std::mem::take(&mut self.commands) {
             self.carry_out(now, command);
         }
+        if let Some(keeper) = &mut self.keeper {
+            keeper.turn(now, &mut self.facts);
+        }
         self.front.flush(now, &mut self.facts);
         more |= self.runtime.turn(now, &mut self.facts);
         self.store.turn(now, &mut self.facts);
@@ -417,6 +426,7 @@
             asked,
             passes,
             self.listen_at,
+            self.keeper.as_ref().and_then(Keeper::next),
         ];
         let store = self.yielded.filter(|(since, passed)| !passed && now < since + handover::CROSSING);
         let next = next.into_iter().flatten().chain(store.map(|(since, _)| since + handover::CROSSING));
@@ -482,6 +492,7 @@
             Command::Start { id, class, body } => self.runtime.start(id, class, &body),
             Command::Give { id, body } => self.runtime.give(id, &body),
             Command::Omit { id, notice } => self.runtime.omit(id, notice),
+            Command::Stop(id) => self.runtime.stop(id),
             Command::Call(call) => self.store.call(now, call, &mut self.facts),
             Command::Abandon(id) => self.store.abandon(id),
             Command::AskGauges => self.runtime.ask_gauges(),
@@ -492,12 +503,12 @@
             Command::Feedback(value) => self.front.set_feedback(value),
             Command::CloseIdle(after) => self.front.set_idle(after),
             Command::Keep(effect) => {
-                if let Some(keeper) = &self.keeper {
+                if let Some(keeper) = &mut self.keeper {
                     keeper.write(effect);
                 }
             }
             Command::Recall { id, number, key } => {
-                if let Some(keeper) = &self.keeper {
+                if let Some(keeper) = &mut self.keeper {
                     keeper.recall(now, id, number, key);
                 }
             }
--- a/crates/matcher/src/options.rs
+++ b/crates/matcher/src/options.rs
@@ -58,6 +58,8 @@
 pub struct Results {
     /// The folder of their store.
     pub folder: PathBuf,
+    /// What is kept outlives the host, and not only the process.
+    pub lasting: bool,
     /// By class: whether results are kept.
     pub classes: Vec<bool>,
     /// A request of such a class without a key is not taken.
--- a/crates/matcher/src/real.rs
+++ b/crates/matcher/src/real.rs
@@ -357,8 +357,12 @@
         Standings::start(&self.handle, folder, most)
     }
 
-    fn keeper(&self, folder: PathBuf, seed: u64) -> io::Result<Keeping> {
-        Keeping::start(&self.handle, folder, seed)
+    fn keeper(&self, folder: PathBuf, seed: u64, lasting: bool) -> io::Result<Keeping> {
+        if lasting {
+            Keeping::start(&self.handle, folder, seed)
+        } else {
+            Ok(Keeping::at_once(folder, seed))
+        }
     }
 }
 
--- a/crates/matcher/src/runtime.rs
+++ b/crates/matcher/src/runtime.rs
@@ -150,6 +150,11 @@
         self.push(line::omit(id, notice), Some(Sent { id, order: Order::Omit }), None);
     }
 
+    /// Stops a run.
+    pub fn stop(&mut self, id: RequestId) {
+        self.push(line::stop(id), Some(Sent { id, order: Order::Stop }), None);
+    }
+
     /// Asks for the gauges; while no link stands there is nobody to ask.
     pub fn ask_gauges(&mut self) {
         // A runtime that does not answer is not asked without end.
@@ -351,6 +356,7 @@
                     "start" => Order::Start,
                     "give" => Order::Give,
                     "omit" => Order::Omit,
+                    "stop" => Order::Stop,
                     other => return Err(format!("nack of {other:?}")),
                 };
                 tracing::warn!("runtime: {} of {} not carried out", notice.status, line::rid(id));
--- a/crates/policy/src/balance/runs.rs
+++ b/crates/policy/src/balance/runs.rs
@@ -43,17 +43,14 @@
         if record.stage == Stage::Calling {
             self.gate.past.push((record.called, self.now + self.settings.linger));
         }
-        if let Stage::Sharing(prior) = record.stage {
-            self.leave_share(prior);
-        } else {
-            self.progress = self.now;
+        match record.stage {
+            Stage::Sharing(prior) => self.leave_share(prior),
+            _ => self.progress = self.now,
         }
         let safe = self.class(&record).effect == Effect::Safe;
-        if outcome != Outcome::Success {
-            if safe {
-                self.forget(id, actions);
-            }
-        } else if !matches!(record.stage, Stage::Sharing(_)) {
+        if outcome != Outcome::Success && safe {
+            self.forget(id, actions);
+        } else if outcome == Outcome::Success && !matches!(record.stage, Stage::Sharing(_)) {
             let pace = &mut self.paces[record.class];
             pace.run_time = smooth(pace.run_time, took as f64 / record.size.max(0.1)).max(1.0);
             if safe && self.entries.contains_key(&id) {
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -78,6 +78,18 @@
     Weight,
 }
 
+/// What a deployment lets be done to running work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Halt {
+    /// Nothing.
+    #[default]
+    Never,
+    /// It is stopped, and what was done is lost.
+    Discard,
+    /// It is paused; that of a request which is over is gone.
+    Freeze,
+}
+
 /// All that a controller is told at its start.
 #[derive(Debug, Clone, Default)]
 pub struct Settings {
@@ -115,6 +127,10 @@
     pub advert: Advert,
     /// The longest advice to stay away that is honoured; 0 where none is.
     pub max_avoid: Micros,
+    /// Callers tell where they no longer wait, perhaps late.
+    pub tells_gone: bool,
+    /// How running work is stopped.
+    pub halt: Halt,
     /// The callers' list follows health.
     pub list_follows_health: bool,
     /// This process was started only now, and is cold.
@@ -285,6 +301,8 @@
     },
     /// Go on without the call.
     SkipCall(RequestId),
+    /// Stop the run of a request that is over.
+    Halt(RequestId),
     /// Answer a held request with the outcome of the one it repeats.
     Share(RequestId),
     /// Enter a request in the table of keys.
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -1,7 +1,7 @@
 //! The settings object, as the simulator's first message and the configuration file carry it, to
 //! [`Settings`]. Translation only; no decisions here.
 
-use crate::interface::{Advert, Below, Class, Effect, Micros, Settings, Tenant};
+use crate::interface::{Advert, Below, Class, Effect, Halt, Micros, Settings, Tenant};
 use serde::Deserialize;
 
 /// No time of a class is longer than a day: sums of times then stay far from overflow.
@@ -94,12 +94,14 @@
     entry_kb: f64,
     fresh: Micros,
     fresh_start: bool,
+    halt: String,
     idle: Micros,
     linger: Micros,
     list_follows: bool,
     memory_kb: f64,
     own_stats: Vec<String>,
     run_factor: f64,
+    tells_gone: bool,
 }
 
 impl BootInfo {
@@ -145,6 +147,9 @@
         if !(specifics.memory_kb.is_finite() && specifics.memory_kb > 0.0) {
             return Err(format!("specifics.memory_kb: {} is no memory", specifics.memory_kb));
         }
+        if !matches!(specifics.halt.as_str(), "" | "silent" | "discard" | "freeze") {
+            return Err(format!("specifics.halt: unknown way to stop a run: {:?}", specifics.halt));
+        }
         if self.tick == 0 || self.tick > 1_000_000 {
             return Err(format!("tick: {} is not within 1 to 1000000", self.tick));
         }
@@ -185,6 +190,12 @@
                 _ => Advert::Unused,
             },
             max_avoid: if self.limits.retry_after { self.limits.max_retry_after } else { 0 },
+            tells_gone: self.specifics.tells_gone,
+            halt: match self.specifics.halt.as_str() {
+                "discard" => Halt::Discard,
+                "freeze" => Halt::Freeze,
+                _ => Halt::Never,
+            },
             list_follows_health: self.specifics.list_follows,
             cold_start: self.specifics.fresh_start,
             cold_speed: self.rules.cold_from,
--- a/crates/protocol/src/ajp/server.rs
+++ b/crates/protocol/src/ajp/server.rs
@@ -382,6 +382,7 @@
             work: work.map_or(defaults.work, |ms| (ms * 1_000.0) as Micros),
             memory_kb,
             rank: number("rank", &places.rank, 1.0)?.unwrap_or(defaults.rank),
+            retry: false,
             has_subject: find(request, places.subject.as_ref()).is_some(),
             key: key.map(Box::from),
             body: Vec::new(),
--- a/crates/protocol/src/frame/connection.rs
+++ b/crates/protocol/src/frame/connection.rs
@@ -17,6 +17,15 @@
 /// Runs of used streams that are remembered for each connection.
 const RUNS: usize = 64;
 
+/// What frames may say at a deployment.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Terms {
+    /// The field that keys stand in, if any.
+    pub key_field: Option<String>,
+    /// Front ends tell where nobody waits any more.
+    pub cancels: bool,
+}
+
 /// The streams used on a connection, as runs of numbers: mostly one run.
 #[derive(Debug, Default)]
 struct Streams(Vec<(u32, u32)>);
@@ -53,18 +62,19 @@
     began: Option<Micros>,
     /// Bytes of a frame that is passed over.
     skip: usize,
-    /// The field that keys stand in.
-    key_field: Option<Rc<str>>,
+    terms: Rc<Terms>,
+    /// Streams that nobody waits for any more, which is still to be told.
+    cancelled: Vec<u32>,
     /// Requests are to be sent on: they are handed over as they came.
     relays: Option<Rc<str>>,
 }
 
 impl Connection {
-    /// One accepted now; the keys of its requests stand in the field of this name, if any.
+    /// One accepted now.
     #[must_use]
-    pub fn new(now: Micros, key_field: Option<Rc<str>>) -> Self {
+    pub fn new(now: Micros, terms: Rc<Terms>) -> Self {
         let (status, streams, open) = (Status::new(now), Streams::default(), BTreeSet::new());
-        Self { status, streams, open, began: None, skip: 0, key_field, relays: None }
+        Self { status, streams, open, began: None, skip: 0, terms, cancelled: Vec::new(), relays: None }
     }
 
     /// The same for a gateway, whose routes look for this host.
@@ -97,7 +107,7 @@
                 self.fault(context, stream, "too many open requests", out);
             }
             codec::REQUEST => match payload.ok_or("the frame is too large".to_owned()) {
-                Ok(payload) => match arrival(payload, stream, self.key_field.as_deref(), context) {
+                Ok(payload) => match arrival(payload, stream, self.terms.key_field.as_deref(), context) {
                     Ok(mut arrival) => {
                         if let Some(host) = &self.relays {
                             arrival.head = codec::fields(payload)
@@ -111,6 +121,19 @@
                 },
                 Err(what) => self.fault(context, stream, &what, out),
             },
+            codec::CANCEL if self.terms.cancels && stream == 0 => {
+                self.fault(context, 0, "nobody can have waited for stream 0", out);
+            }
+            // One whose answer crossed it, or that was never asked for, is nothing any more.
+            codec::CANCEL if self.terms.cancels => {
+                if self.open.remove(&stream) {
+                    self.status.open -= 1;
+                    self.cancelled.push(stream);
+                }
+                if payload.is_none_or(|payload| !payload.is_empty()) {
+                    self.fault(context, 0, "a word that nobody waits has no payload", out);
+                }
+            }
             codec::CHECK => {
                 codec::push_health(out, stream, context.good, context.feedback);
                 if !payload.is_some_and(codec::is_fields) {
@@ -216,6 +239,10 @@
         true
     }
 
+    fn take_cancelled(&mut self) -> Vec<u32> {
+        std::mem::take(&mut self.cancelled)
+    }
+
     fn deadline(&self) -> Option<Micros> {
         let ends = self.status.standing == Standing::Lost;
         self.status.waits.filter(|_| !ends).map(|since| since + SILENCE)
@@ -271,6 +298,7 @@
         work: request.cpu,
         memory_kb: request.ram,
         rank: request.standing,
+        retry: request.second,
         has_subject: request.has_item,
         key: request.key.map(Box::from),
         body: request.body.to_vec(),
--- a/crates/protocol/src/line.rs
+++ b/crates/protocol/src/line.rs
@@ -25,6 +25,12 @@
     line(&json!({"t": "omit", "rid": rid(id), "no": notice}))
 }
 
+/// Stops a run.
+#[must_use]
+pub fn stop(id: RequestId) -> Vec<u8> {
+    line(&json!({"t": "stop", "rid": rid(id)}))
+}
+
 /// Writes the first line of a link.
 #[must_use]
 pub fn sync(notice: u64) -> Vec<u8> {
--- a/crates/protocol/src/machine.rs
+++ b/crates/protocol/src/machine.rs
@@ -81,6 +81,11 @@
     /// Answers a request; false where the connection owes no answer on this stream.
     fn answer(&mut self, context: &Context, stream: u32, answer: &Answer, out: &mut Vec<u8>) -> bool;
 
+    /// Streams on which requests were handed over and that nobody waits for any more, each told once: no answer is owed.
+    fn take_cancelled(&mut self) -> Vec<u32> {
+        Vec::new()
+    }
+
     /// When [`expire`](Self::expire) is due, if nothing happens before.
     fn deadline(&self) -> Option<Micros>;
 
--- a/crates/rig/src/host.rs
+++ b/crates/rig/src/host.rs
@@ -290,11 +290,11 @@
 }
 
 impl Keeper for VirtualKeeper {
-    fn write(&self, effect: Effect) {
+    fn write(&mut self, effect: Effect) {
         self.push(Job::Write(effect));
     }
 
-    fn recall(&self, now: Micros, id: RequestId, number: u64, key: ScopedKey) {
+    fn recall(&mut self, now: Micros, id: RequestId, number: u64, key: ScopedKey) {
         self.push(Job::Recall(now, id, number, key));
     }
 
@@ -371,7 +371,7 @@
         Ok(VirtualStream { net: Rc::clone(&self.net), end })
     }
 
-    fn keeper(&self, _folder: PathBuf, _seed: u64) -> io::Result<VirtualKeeper> {
+    fn keeper(&self, _folder: PathBuf, _seed: u64, _lasting: bool) -> io::Result<VirtualKeeper> {
         let mut net = self.net.borrow_mut();
         let at = net.now + 3_000;
         let mut desk = self.desk.borrow_mut();
--- a/crates/rig/src/machine.rs
+++ b/crates/rig/src/machine.rs
@@ -530,6 +530,7 @@
             }),
             store_speaks: Speaks::Http,
             results: Some(Results {
+                lasting: true,
                 folder: PathBuf::new(),
                 classes: once,
                 required: false,
--- a/src/config.rs
+++ b/src/config.rs
@@ -2,8 +2,10 @@
 //! environment, and that before the file.
 
 use crate::operator::Operator;
-use cleatpulley_matcher::{Options, Parties};
-use cleatpulley_policy::interface::{Micros, Settings};
+use cleatpulley_exchange::history::Bounds;
+use cleatpulley_exchange::Owner;
+use cleatpulley_matcher::{Options, Parties, Results};
+use cleatpulley_policy::interface::{Class, Effect, Micros, Settings};
 use cleatpulley_policy::settings::BootInfo;
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -11,6 +13,16 @@
 
 const STOP_MS: u64 = 3_200;
 const SOCKETS: usize = 1_024;
+const MEMORY_MB: usize = 192;
+/// The platform's field that all tries of a keyed request share.
+const KEY_FIELD: &str = "unique";
+/// The protocol's largest result.
+const LARGEST_RESULT: usize = 4_096;
+/// Results of keyed requests take this part of the process's memory at most: as much again lies dead in files, which count
+/// as memory, before it is compacted away.
+const RESULTS_SHARE: usize = 4;
+/// Where nothing waits for a disk, a file that takes so long has failed.
+const STALL: Micros = 1_000_000;
 /// With fewer there is no room for front ends beside the matcher's own connections.
 const FEWEST_SOCKETS: usize = 128;
 
@@ -61,6 +73,8 @@
     pub stop: Micros,
     /// Descriptors that the process may hold.
     pub sockets: usize,
+    /// Memory that the process may take.
+    pub memory_mb: usize,
     /// Names of the classes, by index.
     pub class_names: Vec<String>,
     /// Names of the gauges, in the order that the runtime tells them in.
@@ -89,6 +103,7 @@
 #[derive(Deserialize, Default)]
 struct Limits {
     sockets: Option<usize>,
+    memory_mb: Option<usize>,
 }
 
 impl Config {
@@ -98,9 +113,40 @@
         Parties { runtime: self.runtime, store: self.store, lookup: self.lookup }
     }
 
-    /// All that a matcher is told, with what the operator file switches on.
+    /// What is kept of keyed requests where no operator file says more: enough to tell their repeats within the window, for
+    /// as long as this matcher lives, whichever process it is. The folder is the process's own for its files.
+    fn results(&self, scratch: &Path) -> Option<Results> {
+        let classes = &self.settings.classes;
+        let keyed: Vec<_> = classes.iter().map(|class| class.effect == Effect::Keyed).collect();
+        let longest = |time: fn(&Class) -> Micros| classes.iter().map(time).max().unwrap_or(0);
+        let address = self.listen.to_string().replace([':', '[', ']'], "-");
+        let process = if self.listen.port() == 0 { std::process::id() } else { 0 };
+        let entries = (self.memory_mb * 1_000_000 / RESULTS_SHARE / LARGEST_RESULT).max(1);
+        keyed.contains(&true).then(|| Results {
+            folder: scratch.join(format!("results-{}-{address}-{process}", self.name)),
+            lasting: false,
+            classes: keyed,
+            required: true,
+            owner: Owner::All,
+            bounds: Bounds {
+                entries,
+                bytes: entries * LARGEST_RESULT,
+                // From the run on, and as long again as a try may be on its way: one that was written within the window is
+                // told by it, however late it is read.
+                window: longest(|class| class.window) + longest(|class| class.deadline),
+                stall: STALL,
+                seed: self.seed,
+            },
+            // They are the process's own memory, and not of what requests are booked with.
+            entry_kb: 0.0,
+            frame_field: Some(KEY_FIELD.to_owned()),
+        })
+    }
+
+    /// All that a matcher is told, with what the operator file switches on; `scratch` is where its own files go.
     #[must_use]
-    pub fn options(self, operator: Operator) -> Options {
+    pub fn options(self, operator: Operator, scratch: &Path) -> Options {
+        let results = operator.results.or_else(|| self.results(scratch));
         Options {
             parties: self.parties(),
             name: self.name,
@@ -116,7 +162,7 @@
             settings: self.settings,
             ajp: operator.ajp,
             store_speaks: operator.store,
-            results: operator.results,
+            results,
             admission: operator
                 .admission
                 .map(|settings| cleatpulley_admission::Settings { seed: self.seed, ..settings }),
@@ -173,6 +219,10 @@
         if sockets < FEWEST_SOCKETS {
             return Err(format!("limits.sockets: {sockets} is less than {FEWEST_SOCKETS}"));
         }
+        let memory_mb = file.limits.memory_mb.unwrap_or(MEMORY_MB);
+        if memory_mb == 0 {
+            return Err("limits.memory_mb: 0 is no memory".to_owned());
+        }
         Ok(Self {
             listen: address("listen", sources.listen.as_ref().or(file.listen.as_ref()))?,
             mgmt: sources
@@ -188,6 +238,7 @@
             seed,
             stop: stop_ms * 1_000,
             sockets,
+            memory_mb,
             class_names: file.settings.class_names(),
             gauge_names: file.settings.gauge_names(),
             settings: file.settings.settings(),
--- a/src/main.rs
+++ b/src/main.rs
@@ -302,8 +302,11 @@
             // A fleet's daemon hands its instances over by itself.
             let meets_in = serve.upgrade_folder.filter(|_| !hosted);
             let shares_addresses = meets_in.is_some();
-            let options =
-                Options { shares_listener: listener.is_some(), meets_in, ..config.options(operator) };
+            let options = Options {
+                shares_listener: listener.is_some(),
+                meets_in,
+                ..config.options(operator, &std::env::temp_dir())
+            };
             let hosted = Hosted { signals, link, listener, shares_addresses };
             serve_with(hosted, |world| {
                 let node = Box::new(Node::new(world.clone(), options, Box::new(reload))?);
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -216,7 +216,8 @@
     /// The key of the configuration that is not covered.
     pub fn covers(&self, config: &Config) -> Result<(), String> {
         for (i, class) in config.settings.classes.iter().enumerate() {
-            let kept = self.results.as_ref().is_some_and(|results| results.classes[i]);
+            // Without that section they are kept by themselves.
+            let kept = self.results.as_ref().is_none_or(|results| results.classes[i]);
             if class.effect == Effect::Keyed && !kept {
                 return Err(format!(
                     "settings.classes[{i}].effect: further tries can't be told without kept results of {:?}",
--- a/src/operator/results.rs
+++ b/src/operator/results.rs
@@ -145,6 +145,7 @@
         };
         Ok(Results {
             folder: PathBuf::from(self.folder),
+            lasting: true,
             classes,
             required: self.required,
             owner,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -398,6 +398,7 @@
             Action::Fail(id) => plain("end_failed", Some(id)),
             Action::Call { id, timeout } => Line { within: Some(timeout), ..plain("reach_out", Some(id)) },
             Action::SkipCall(id) => plain("do_without", Some(id)),
+            Action::Halt(id) => plain("yank", Some(id)),
             Action::Share(id) => plain("echo", Some(id)),
             Action::Remember { id, lifetime } => {
                 Line { lifetime: Some(lifetime), ..plain("store_key", Some(id)) }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -42,6 +42,8 @@
         fresh: 0,
         advert: Advert::Weight,
         max_avoid: SECOND,
+        tells_gone: true,
+        halt: Halt::Never,
         list_follows_health: true,
         cold_start: false,
         cold_speed: 0.2,
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -76,6 +76,7 @@
         work: 0,
         memory_kb: 10.0,
         rank: 0.5,
+        retry: false,
         has_subject: false,
         key: None,
         body: vec![id as u8],
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -150,6 +150,14 @@
             Action::Forget(id) => {
                 self.entries.remove(&id);
             }
+            Action::Halt(id) => {
+                assert_ne!(self.settings.halt, Halt::Never, "nothing may be stopped here");
+                let request = &self.seen[&id];
+                assert_eq!(request.at, At::Cores, "only what runs is stopped");
+                assert!(request.answered, "an answer is owed");
+                let safe = self.settings.classes[request.class].effect == Effect::Safe;
+                assert!(safe, "what has an effect is not stopped");
+            }
             Action::Timer { .. } | Action::Advertise(_) | Action::CloseIdle(_) | Action::Health { .. } => {}
         }
     }
@@ -332,6 +340,7 @@
 #[test]
 fn random_events_never_break_a_rule() {
     play_all(&varied());
+    play_all(&Settings { halt: Halt::Discard, ..varied() });
 }
 
 #[test]
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -32,6 +32,28 @@
     assert!(script.pass(9 * SECOND).is_empty());
 }
 
+/// Where the deployment lets runs be stopped, that of a read whose caller has gone, or that is failed, is; never one that has
+/// an effect, and nowhere else.
+#[test]
+fn only_a_read_that_is_over_is_stopped_and_only_where_that_may_be() {
+    for (halt, class, stops) in [
+        (Halt::Never, 0, false),
+        (Halt::Discard, 0, true),
+        (Halt::Freeze, 0, true),
+        (Halt::Discard, 1, false),
+    ] {
+        let mut script = Script::new(Settings { halt, ..settings() });
+        script.arrive(1, class);
+        let expected: Vec<_> = stops.then_some(Action::Halt(1)).into_iter().collect();
+        assert_eq!(script.hear(&[Event::Gone(1)]), expected, "{halt:?}, class {class}");
+        assert_eq!(script.hear(&[ended(1, 5 * MS)]), [], "its end is no news");
+        script.arrive(2, class);
+        let actions = script.pass(9 * SECOND);
+        assert_eq!(failed(&actions), [2]);
+        assert_eq!(actions.contains(&Action::Halt(2)), stops);
+    }
+}
+
 #[test]
 fn a_keyed_request_is_kept_for_its_window_from_arrival() {
     let mut script = Script::new(settings());
