--- a/crates/matcher/src/keeping.rs
+++ b/crates/matcher/src/keeping.rs
@@ -317,6 +317,10 @@
 
 impl Passing {
     fn ask(&mut self, job: Job) {
+        // Another process has the store.
+        if self.released {
+            return;
+        }
         self.core.work(&mut std::iter::once(job), &mut self.facts);
         self.core.sync(&mut self.facts);
         self.next = self.next.or(Some(0));
--- a/src/config.rs
+++ b/src/config.rs
@@ -143,6 +143,16 @@
         })
     }
 
+    /// What is kept of keyed requests where no operator file says more, in one line; none where no class is keyed.
+    #[must_use]
+    pub fn shows_results(&self, scratch: &Path) -> Option<String> {
+        let results = self.results(scratch)?;
+        let mut line = String::new();
+        // Writing to a string can't fail.
+        let _ = crate::operator::results::show(&results, &mut line);
+        Some(line)
+    }
+
     /// All that a matcher is told, with what the operator file switches on; `scratch` is where its own files go.
     #[must_use]
     pub fn options(self, operator: Operator, scratch: &Path) -> Options {
--- a/src/main.rs
+++ b/src/main.rs
@@ -331,6 +331,11 @@
                 config.sockets,
             );
             say!("{operator}");
+            if let Some(line) =
+                config.shows_results(&std::env::temp_dir()).filter(|_| operator.results.is_none())
+            {
+                say!("{line}");
+            }
             say!("{}", cluster::show(cluster.as_ref()));
         }
         Command::Version => {
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -5,7 +5,7 @@
 pub mod cluster;
 pub mod fleet;
 pub mod gateway;
-mod results;
+pub(crate) mod results;
 mod section;
 mod tls;
 
--- a/src/operator/results.rs
+++ b/src/operator/results.rs
@@ -156,7 +156,8 @@
     }
 }
 
-pub(super) fn show(results: &Results, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+/// What they come to, in one line.
+pub(crate) fn show(results: &Results, f: &mut impl fmt::Write) -> fmt::Result {
     let Bounds { entries, bytes, window, stall, .. } = results.bounds;
     let kept = results.classes.iter().filter(|kept| **kept).count();
     write!(
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -66,11 +66,18 @@
         if let Some((child, ..)) = &mut self.child {
             let _ = child.kill();
             let _ = child.wait();
+            forget(child.id());
         }
         let _ = std::fs::remove_file(&self.file);
     }
 }
 
+/// Removes what a process that was killed has kept of keys.
+fn forget(process: u32) {
+    let folder = format!("results-n3-127.0.0.1-0-{process}");
+    let _ = std::fs::remove_dir_all(std::env::temp_dir().join(folder));
+}
+
 fn millis() -> i64 {
     SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis() as i64
 }
@@ -277,6 +284,7 @@
             "restart" => {
                 let (mut child, ..) = self.child.take().expect("it runs");
                 child.kill().and_then(|()| child.wait()).expect("it is ended");
+                forget(child.id());
                 self.streams.clear();
                 self.listeners.clear();
             }
