--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -37,6 +37,8 @@
 //!     fresh: 0,
 //!     advert: Advert::Unused,
 //!     max_avoid: 1_000_000,
+//!     tells_gone: true,
+//!     halt: Halt::Never,
 //!     list_follows_health: false,
 //!     cold_start: true,
 //!     cold_speed: 0.5,
