--- a/crates/policy/src/balance/drain.rs
+++ b/crates/policy/src/balance/drain.rs
@@ -72,7 +72,7 @@
         self.close(id, actions);
     }
 
-    /// No answer is owed any more; a run goes on, where it may not be stopped or its repeats are owed what it makes.
+    /// No answer is owed any more; a run goes on where it may not be stopped, or has an effect.
     pub(super) fn close(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(record) = self.requests.get_mut(&id) else { return };
         record.answered = true;
