--- a/crates/matcher/src/front.rs
+++ b/crates/matcher/src/front.rs
@@ -2,37 +2,27 @@
 //! are the same for every protocol and live here; what the bytes mean is a [`Machine`]'s.
 
 mod accept;
+mod peer;
+mod speaks;
 mod tls;
 
-use super::conn::Conn;
+pub use speaks::Speaks;
+
 use super::secure::Tls;
 use super::world::{Readiness, World};
-use cleatpulley_admission::admit::Known;
 use cleatpulley_admission::handshake::Handshakes;
 use cleatpulley_admission::identity::Identities;
 use cleatpulley_admission::Admission;
 use cleatpulley_exchange::{Answer, Arrival, Fact, Origin};
 use cleatpulley_policy::interface::Micros;
-use cleatpulley_protocol::frame::connection::PARTING;
 use cleatpulley_protocol::machine::{Context, Machine, Standing};
-use cleatpulley_protocol::{ajp, frame};
+use peer::{Next, Peer};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
-/// Bytes read from a connection in one turn, so that a loud peer blocks nobody.
-const READ_AT_ONCE: usize = 65_536;
-/// A peer that leaves so much unread is not read from: its answers would pile up here. What its open requests
-/// still get comes on top.
-const UNREAD: usize = 32_768;
-/// After our end is closed, what the peer sent before is read away for so long: closing over unread bytes
-/// would take back answers on their way.
-const LINGER: Micros = 2_000_000;
-/// A connection turned away is closed after this, once what came on it is answered: twice the time within which a front
-/// end sends once more what crossed the word to part.
-const REFUSED_LINGER: Micros = 100_000;
 /// How often idle and parting connections are looked for.
 const SWEEP: Micros = 100_000;
 /// A sweep that comes so late tells of a pause of the machine, which is no silence of the peers.
@@ -41,75 +31,6 @@
 const CROWDED: f64 = 0.75;
 /// An idle connection that carried something so lately is not told so: its front end may be about to use it.
 const WARM: Micros = 300_000;
-/// Where no place is left, a connection that was accepted or told to close so lately keeps its place: what it
-/// sent may be on its way.
-const FAIR: Micros = 50_000;
-
-/// What is spoken on a listening address.
-#[derive(Debug, Clone)]
-pub enum Speaks {
-    /// The frames of front ends.
-    Frames(Rc<frame::connection::Terms>),
-    /// The same for a gateway, whose routes look for this host.
-    Relayed(Rc<str>),
-    /// AJP/1.3, and the addresses of the proxies whose word on when a request came is believed.
-    Ajp(Rc<ajp::server::Settings>, Rc<Vec<IpAddr>>),
-}
-
-impl Speaks {
-    fn machine(&self, now: Micros, peer: IpAddr) -> Spoken {
-        match self {
-            Self::Frames(terms) => Spoken::Frames(frame::connection::Connection::new(now, Rc::clone(terms))),
-            Self::Relayed(host) => {
-                let connection = frame::connection::Connection::new(now, Rc::default());
-                Spoken::Frames(connection.relaying(Rc::clone(host)))
-            }
-            Self::Ajp(settings, trusted) => {
-                Spoken::Ajp(ajp::server::Connection::new(Rc::clone(settings), now, trusted.contains(&peer)))
-            }
-        }
-    }
-}
-
-/// A connection's state machine, by what it speaks.
-enum Spoken {
-    Frames(frame::connection::Connection),
-    Ajp(ajp::server::Connection),
-}
-
-impl std::ops::Deref for Spoken {
-    type Target = dyn Machine;
-
-    fn deref(&self) -> &Self::Target {
-        match self {
-            Self::Frames(machine) => machine,
-            Self::Ajp(machine) => machine,
-        }
-    }
-}
-
-impl std::ops::DerefMut for Spoken {
-    fn deref_mut(&mut self) -> &mut Self::Target {
-        match self {
-            Self::Frames(machine) => machine,
-            Self::Ajp(machine) => machine,
-        }
-    }
-}
-
-struct Peer<W: World> {
-    conn: Conn<W>,
-    machine: Spoken,
-    /// Since when our end is closed; what still comes is thrown away.
-    lingers: Option<Micros>,
-    /// How its address is known.
-    known: Known,
-    /// The names of the certificate it showed, where it spoke TLS.
-    names: Vec<String>,
-    /// It got no place, or its name is over its cap: it is told to part, and closed soon after what came on it is
-    /// answered.
-    over: bool,
-}
 
 /// A listening socket.
 struct Door<W: World> {
@@ -606,84 +527,5 @@
     }
 }
 
-#[derive(PartialEq)]
-enum Next {
-    Wait,
-    Again,
-    Close,
-}
-
-impl<W: World> Peer<W> {
-    fn serve(&mut self, context: &Context, arrivals: &mut Vec<Arrival>) -> io::Result<Next> {
-        let mut more = false;
-        self.conn.flush()?;
-        if self.conn.unsent() < UNREAD {
-            more = self.conn.read(READ_AT_ONCE)?;
-            let input = std::mem::take(&mut self.conn.input);
-            let used = match self.lingers {
-                Some(_) => input.len(),
-                None => self.machine.receive(context, &input, self.conn.output(), arrivals),
-            };
-            self.conn.input = input;
-            self.conn.consume(used);
-        }
-        self.conn.flush()?;
-        let now = context.now;
-        if self.rests(now) {
-            self.conn.finish();
-            self.lingers = Some(now);
-        }
-        if let Some(since) = self.lingers {
-            if self.conn.ended || now >= since + LINGER {
-                return Ok(Next::Close);
-            }
-        }
-        Ok(if more { Next::Again } else { Next::Wait })
-    }
-
-    /// Tells the peer to close where nothing is on its way. Guards what is being written on it: its front end could only
-    /// send it once more.
-    fn send_away(&mut self, context: &Context) {
-        let status = self.machine.status();
-        let rests = status.spoken && status.waits.is_none() && self.lingers.is_none();
-        if status.standing == Standing::Open && rests {
-            self.machine.part(context, self.conn.output());
-        }
-    }
-
-    /// A part of a message has come.
-    fn is_halfway(&self) -> bool {
-        let status = self.machine.status();
-        status.waits.is_some() && (status.spoken || !self.conn.input.is_empty())
-    }
-
-    /// Where its place may be given up: in which order, and since when.
-    fn spare_since(&self, now: Micros) -> Option<(u8, Micros)> {
-        let status = self.machine.status();
-        let (rank, since) = match (self.lingers, status.standing) {
-            _ if status.open > 0 => return None,
-            (Some(since), _) => (0, since),
-            (None, Standing::Parting(since)) => (1, since),
-            (None, Standing::Lost) => (1, status.used),
-            (None, Standing::Open) if !status.spoken => (2, status.waits.unwrap_or(now)),
-            (None, Standing::Open) => return None,
-        };
-        (now >= since + FAIR).then_some((rank, since))
-    }
-
-    /// Nothing is owed, and no more may come.
-    fn rests(&self, now: Micros) -> bool {
-        let status = self.machine.status();
-        let over = match status.standing {
-            Standing::Open => self.conn.ended,
-            Standing::Parting(since) if self.over => self.conn.ended || now >= since + REFUSED_LINGER,
-            // What had begun to come by then has the machine's time to come whole.
-            Standing::Parting(since) => self.conn.ended || (now >= since + PARTING && !self.is_halfway()),
-            Standing::Lost => true,
-        };
-        self.lingers.is_none() && over && status.open == 0 && self.conn.unsent() == 0
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/matcher/src/front/tests.rs
+++ b/crates/matcher/src/front/tests.rs
@@ -1,8 +1,11 @@
 //! The front on sockets of loopback, on a clock of the test's own: nothing is read before the test says so.
 
 use super::accept::ACCEPT_PAUSE;
+use super::peer::FAIR;
 use super::*;
 use crate::real::Real;
+use cleatpulley_protocol::frame;
+use cleatpulley_protocol::frame::connection::PARTING;
 use std::net::TcpStream;
 
 const SECOND: Micros = 1_000_000;
