--- a/crates/results/src/history/words.rs
+++ b/crates/results/src/history/words.rs
@@ -42,7 +42,7 @@
 /// What is to be carried out.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Effect {
-    /// Write this of a key, until then; [`History::durable`] is told its ticket once it is durable.
+    /// Write this of a key, until then; [`History::durable`](super::History::durable) is told its ticket once it is durable.
     Write {
         /// Numbers rise; durable means all up to it.
         ticket: u64,
