Name the last answer to GET /_ready where an upgrade gives up on the new process

Its message says only that the process is not ready, so three hypotheses can't be told apart: (a) the request is not understood, as it is plain HTTP and the endpoint speaks TLS; (b) the process answers 503, as its runtime or its predecessor keeps it from serving; (c) the endpoint answers late or has no slot left. (a) shows as a connection that ends without a response, (b) as status 503, (c) as a timeout.

Change: the message ends with the last outcome of the check: a status, or the error.

--- a/src/commands/upgrade.rs
+++ b/src/commands/upgrade.rs
@@ -171,12 +171,18 @@
                 "the new process has exited with {status}: see its log"
             ));
         }
-        if matches!(request_ready_status(management), Ok(200)) {
+        let outcome = request_ready_status(management);
+        if matches!(outcome, Ok(200)) {
             return Ok(());
         }
         if started_at.elapsed() > timeout {
+            let last_outcome = match outcome {
+                Ok(status) => format!("status {status}"),
+                Err(error) => error.to_string(),
+            };
             return Err(format!(
-                "the new process is not ready after {timeout:?}: see its log"
+                "the new process is not ready after {timeout:?}: see its log; \
+                 the last GET /_ready at {management}: {last_outcome}"
             ));
         }
         std::thread::sleep(READY_POLL_INTERVAL);
