Ask for the readiness of an upgrade's new process in the protocol of its endpoint

Cause: the command requested /_ready in plain HTTP whatever the operator file says. The endpoint dropped the connection, the new process never counted as ready, and after `--ready-within` it was killed, with the requests that it had read. The check whether the management address is free had the same flaw: a TLS or silent listener counted as none, both processes then listened there (SO_REUSEPORT), and a 200 of the old one could be taken for the new one's.

Evidence: with the last answer in the message the command prints `unexpected end of file`, while a TLS client gets {"ready":true} from the same address at the same moment.

Change: where `mgmt` uses TLS, the request goes over TLS. The command accepts exactly the certificate of the operator file, whatever its names and validity, and presents it where the endpoint trusts its issuer; so it needs no other setting, with and without client certificates, TLS 1.2 or 1.3. An address counts as free only if connecting to it is refused.

--- a/crates/emulators/src/matcher.rs
+++ b/crates/emulators/src/matcher.rs
@@ -119,6 +119,18 @@
         Ok(started.elapsed())
     }
 
+    /// Returns the id of the process.
+    #[must_use]
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns the temporary folder that it shares with its successors.
+    #[must_use]
+    pub fn shared_folder(&self) -> &Path {
+        &self.shared.0
+    }
+
     /// Kills the process.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- a/crates/server/src/tls_layer/options.rs
+++ b/crates/server/src/tls_layer/options.rs
@@ -4,7 +4,7 @@
 use cleatpulley_connection_admission::{handshake, identity};
 use cleatpulley_policy::interface::Micros;
 use cleatpulley_tls::certificate::CertificateInfo;
-use cleatpulley_tls::rustls::ServerConfig;
+use cleatpulley_tls::rustls::{ClientConfig, ServerConfig};
 use cleatpulley_tls::Clock;
 use std::fmt;
 use std::sync::Arc;
@@ -29,6 +29,13 @@
     /// # Errors
     /// The faulty file and the error in it.
     fn load(&self) -> Result<LoadedCertificate, CertificateError>;
+
+    /// Returns the session configuration of a client of a server that uses this certificate too. It
+    /// accepts no other certificate.
+    ///
+    /// # Errors
+    /// The faulty file and the error in it.
+    fn client_config(&self) -> Result<Arc<ClientConfig>, CertificateError>;
 }
 
 /// TLS options of the listeners of a server.
--- a/crates/tls/src/config.rs
+++ b/crates/tls/src/config.rs
@@ -3,6 +3,7 @@
 //! change. The time is that of the [`Clock`] passed in.
 
 use crate::certificate::CertificateWithKey;
+use crate::pinned_certificate::{CertificateForTrustedIssuer, PinnedServerCertificate};
 use crate::Clock;
 use rustls::client::ResolvesClientCert;
 use rustls::pki_types::CertificateDer;
@@ -148,3 +149,24 @@
     };
     Ok(Arc::new(config))
 }
+
+/// Builds the configuration of sessions with a process that uses the same certificate files: it
+/// accepts only this certificate as the server's, and presents it if the server trusts its issuer.
+///
+/// # Errors
+/// Returns an error if the versions don't match the cryptography provider.
+pub fn same_certificate_client_config(
+    certificate: &CertificateWithKey,
+    versions: ProtocolVersions,
+    clock: &Clock,
+) -> Result<Arc<ClientConfig>, String> {
+    let provider = crate::crypto_provider();
+    let verifier = PinnedServerCertificate::new(certificate, Arc::clone(&provider));
+    let config = ClientConfig::builder_with_details(provider, Arc::new(clock.clone()))
+        .with_protocol_versions(versions.as_rustls())
+        .map_err(|e| e.to_string())?
+        .dangerous()
+        .with_custom_certificate_verifier(Arc::new(verifier))
+        .with_client_cert_resolver(Arc::new(CertificateForTrustedIssuer::new(certificate)));
+    Ok(Arc::new(config))
+}
--- a/crates/tls/src/lib.rs
+++ b/crates/tls/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod certificate;
 pub mod client_hello;
 pub mod config;
+mod pinned_certificate;
 pub mod session;
 pub mod ticket_keys;
 pub mod verification;
--- a/src/commands/upgrade.rs
+++ b/src/commands/upgrade.rs
@@ -1,21 +1,20 @@
 //! `cleatpulley upgrade`: replaces a running server by a new process and shows each step.
 
+mod management_client;
+
 use crate::ConfigArgs;
 use clap::Args;
-use cleatpulley::protocol::http;
+use management_client::ManagementClient;
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use rustix::process::{pidfd_open, pidfd_send_signal, Pid, PidfdFlags, Signal};
 use std::fs::File;
-use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io;
 use std::os::fd::{AsFd, OwnedFd};
 use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitCode, Stdio};
 use std::time::{Duration, Instant};
 
-/// Timeout of a request to the management endpoint.
-const MANAGEMENT_TIMEOUT: Duration = Duration::from_secs(1);
 const READY_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Arguments of `cleatpulley upgrade`.
@@ -51,13 +50,17 @@
     let old_process =
         open_process(upgrade.pid).map_err(|e| format!("--pid: process {}: {e}", upgrade.pid))?;
     let args = upgrade.config_args.to_arguments();
-    let (config, ..) = upgrade.config_args.load()?;
-    let management = config.management.filter(|address| address.port() != 0);
-    let management = management
-        .ok_or("mgmt: the new process needs a management address with a port of its own")?;
-    if request_ready_status(management).is_ok() {
+    let (config, operator, _) = upgrade.config_args.load()?;
+    let address = config.management.filter(|address| address.port() != 0);
+    let address =
+        address.ok_or("mgmt: the new process needs a management address with a port of its own")?;
+    let management = ManagementClient::new(address, &operator);
+    if !management
+        .is_address_free()
+        .map_err(|e| format!("mgmt: {address}: {e}"))?
+    {
         return Err(format!(
-            "mgmt: another process listens on {management}; the new process needs another address"
+            "mgmt: another process listens on {address}; the new process needs another address"
         ));
     }
     let program = match upgrade.program {
@@ -92,7 +95,7 @@
     let started_at = Instant::now();
     if let Err(error) = wait_until_ready(
         &mut new_process,
-        management,
+        &management,
         Duration::from_secs_f64(upgrade.ready_within),
     ) {
         // The new process has not taken over, so the old one accepts clients again immediately.
@@ -161,7 +164,7 @@
 
 fn wait_until_ready(
     process: &mut Child,
-    management: SocketAddr,
+    management: &ManagementClient,
     timeout: Duration,
 ) -> Result<(), String> {
     let started_at = Instant::now();
@@ -171,7 +174,7 @@
                 "the new process has exited with {status}: see its log"
             ));
         }
-        let outcome = request_ready_status(management);
+        let outcome = management.request_ready_status();
         if matches!(outcome, Ok(200)) {
             return Ok(());
         }
@@ -182,31 +185,10 @@
             };
             return Err(format!(
                 "the new process is not ready after {timeout:?}: see its log; \
-                 the last GET /_ready at {management}: {last_outcome}"
+                 the last GET /_ready at {}: {last_outcome}",
+                management.address()
             ));
         }
         std::thread::sleep(READY_POLL_INTERVAL);
     }
 }
-
-/// Requests `/_ready` from a management endpoint and returns the status of the response.
-fn request_ready_status(management: SocketAddr) -> io::Result<u16> {
-    let mut stream = TcpStream::connect_timeout(&management, MANAGEMENT_TIMEOUT)?;
-    stream.set_read_timeout(Some(MANAGEMENT_TIMEOUT))?;
-    let mut bytes = Vec::new();
-    http::push_request(
-        &mut bytes,
-        "GET",
-        "/_ready",
-        &management.to_string(),
-        &[],
-        b"",
-    );
-    stream.write_all(&bytes)?;
-    bytes.clear();
-    stream.read_to_end(&mut bytes)?;
-    let response = http::parse_response(&bytes, true).map_err(io::Error::other)?;
-    response
-        .map(|response| response.status)
-        .ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
-}
--- a/src/operator/tls.rs
+++ b/src/operator/tls.rs
@@ -9,6 +9,7 @@
 use cleatpulley_server::tls_layer::{CertificateSource, LoadedCertificate, TlsOptions};
 use cleatpulley_tls::certificate::{self, CertificateWithKey};
 use cleatpulley_tls::config::{self, ClientAuthentication, ProtocolVersions};
+use cleatpulley_tls::rustls::ClientConfig;
 use cleatpulley_tls::ticket_keys::TicketKeys;
 use cleatpulley_tls::Clock;
 use serde::Deserialize;
@@ -248,6 +249,13 @@
             facts: pair.info,
         })
     }
+
+    fn client_config(&self) -> Result<Arc<ClientConfig>, CertificateError> {
+        let pair =
+            CertificateWithKey::load(&self.certificate, &self.key).map_err(|e| e.to_string())?;
+        let config = config::same_certificate_client_config(&pair, self.versions, &self.clock);
+        Ok(config.map_err(|e| format!("{}: {e}", self.certificate.display()))?)
+    }
 }
 
 impl HandshakesSection {
--- /dev/null
+++ b/tests/upgrade.rs
@@ -0,0 +1,249 @@
+//! `cleatpulley upgrade` on real processes under load.
+
+use cleatpulley_emulators::callers::Protocol;
+use cleatpulley_emulators::host::with_lock;
+use cleatpulley_emulators::site::Setup;
+use cleatpulley_emulators::trial::{Load, Report, RunningTrial, Trial};
+use cleatpulley_tls::authority;
+use rustix::process::{kill_process, test_kill_process, Pid, Signal};
+use std::net::TcpListener;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// What the trial reports if the process that it started has exited and no rule was broken.
+const OLD_PROCESS_EXITED: &str = "1 matcher exited by itself";
+
+fn program() -> PathBuf {
+    PathBuf::from(env!("CARGO_BIN_EXE_cleatpulley"))
+}
+
+/// A matcher under load that is to be upgraded, and the files of the upgrade.
+struct Upgrade {
+    trial: RunningTrial,
+    folder: tempfile::TempDir,
+    operator_sections: String,
+    /// Management address of the new process.
+    new_management: String,
+}
+
+/// The outcome of an upgrade.
+struct Outcome {
+    output: Output,
+    new_process: NewProcess,
+}
+
+/// The process that an upgrade has started; it is killed when this is dropped.
+struct NewProcess(Option<Pid>);
+
+impl NewProcess {
+    fn is_running(&self) -> bool {
+        self.0.is_some_and(|pid| test_kill_process(pid).is_ok())
+    }
+}
+
+impl Drop for NewProcess {
+    fn drop(&mut self) {
+        if let Some(pid) = self.0 {
+            // It may have exited, as it has to after a rollback.
+            let _ = kill_process(pid, Signal::KILL);
+        }
+    }
+}
+
+impl Outcome {
+    fn text(&self) -> String {
+        let Output { stdout, stderr, .. } = &self.output;
+        format!(
+            "{}{}",
+            String::from_utf8_lossy(stdout),
+            String::from_utf8_lossy(stderr)
+        )
+    }
+}
+
+impl Upgrade {
+    /// Starts a matcher and callers that send frames for this time.
+    fn start(folder: tempfile::TempDir, operator_sections: &str, seconds: f64, seed: u64) -> Self {
+        let site = Setup {
+            seed,
+            runtime_address_count: 2,
+            ..Setup::default()
+        };
+        let load = Load {
+            protocol: Protocol::Frames,
+            rates: vec![((seconds * 1e6) as u64, 0.6 * site.capacity())],
+            connections: 8,
+            body_bytes: 64,
+            key_field: None,
+        };
+        let trial = Trial {
+            site,
+            loads: vec![load],
+            ajp_options: String::new(),
+            operator_sections: operator_sections.to_owned(),
+            terminate_at: None,
+        };
+        let trial = trial.start(&program()).expect("start the process");
+        std::thread::sleep(Duration::from_millis(300));
+        Self {
+            trial,
+            folder,
+            operator_sections: operator_sections.to_owned(),
+            new_management: unused_address(),
+        }
+    }
+
+    fn path(&self, name: &str) -> PathBuf {
+        self.folder.path().join(name)
+    }
+
+    /// Returns the command that upgrades the matcher; the new process uses a runtime address of its
+    /// own.
+    fn command(&self) -> Command {
+        let mut config = self.trial.site.config.clone();
+        config["listen"] = self.trial.matcher.frames.to_string().into();
+        config["mgmt"] = self.new_management.clone().into();
+        config["runtime"] = self.trial.site.runtime_addresses[1].to_string().into();
+        std::fs::write(self.path("new.json"), config.to_string()).expect("write the file");
+        let operator = self.trial.site.operator_file("", &self.operator_sections);
+        std::fs::write(self.path("operator.jsonnet"), operator).expect("write the file");
+        let mut command = Command::new(program());
+        for variable in ["GW_CONFIG", "GW_NAME", "GW_LISTEN", "GW_MGMT"] {
+            command.env_remove(variable);
+        }
+        command
+            .arg("upgrade")
+            .args(["--pid", &self.trial.matcher.pid().to_string()])
+            .arg("--config")
+            .arg(self.path("new.json"))
+            .arg("--operator")
+            .arg(self.path("operator.jsonnet"))
+            .arg("--upgrade-folder")
+            .arg(self.trial.matcher.shared_folder())
+            .arg("--log-file")
+            .arg(self.path("new.log"));
+        command
+    }
+
+    /// Runs the command to its end, and the load to its end.
+    fn run(&mut self, command: &mut Command) -> (Outcome, Report) {
+        let output = command.output().expect("run the command");
+        let stdout = String::from_utf8_lossy(&output.stdout).into_owned();
+        let new_pid = stdout
+            .lines()
+            .find_map(|line| line.strip_prefix("1. process "))
+            .and_then(|line| line.split(' ').next()?.parse().ok())
+            .and_then(Pid::from_raw);
+        while !self
+            .trial
+            .callers
+            .iter()
+            .all(|callers| with_lock(callers, |callers| callers.is_done()))
+        {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        let outcome = Outcome {
+            output,
+            new_process: NewProcess(new_pid),
+        };
+        (outcome, self.trial.check_rules())
+    }
+}
+
+fn unused_address() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind a port");
+    listener
+        .local_addr()
+        .expect("the port of a socket")
+        .to_string()
+}
+
+fn now_unix_s() -> i64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |since| since.as_secs() as i64)
+}
+
+/// Writes an authority and a certificate issued by it, as `ca.pem`, `n1.pem` and `n1.key`.
+fn write_certificates(folder: &Path) {
+    let authority = authority::create_authority("test authority", now_unix_s(), 30)
+        .expect("create the authority");
+    let names = ["n1".to_owned()];
+    let issued = authority::issue_certificate(
+        (&authority.certificate, &authority.key),
+        &names,
+        None,
+        now_unix_s(),
+        30,
+    );
+    let issued = issued.expect("issue the certificate");
+    for (name, text) in [
+        ("ca.pem", &authority.certificate),
+        ("n1.pem", &issued.certificate),
+        ("n1.key", &issued.key),
+    ] {
+        std::fs::write(folder.join(name), text).expect("write the file");
+    }
+}
+
+/// Returns a folder with certificates, and a `tls` section that enables TLS for operators.
+fn management_tls(options: &str) -> (tempfile::TempDir, String) {
+    let folder = tempfile::tempdir().expect("create a folder");
+    write_certificates(folder.path());
+    let at = |name: &str| folder.path().join(name).display().to_string();
+    let (certificate, key, roots) = (at("n1.pem"), at("n1.key"), at("ca.pem"));
+    let options = options.replace("ROOTS", &roots);
+    let section =
+        format!("tls: {{ certificate: '{certificate}', key: '{key}', on: ['mgmt'], {options} }},");
+    (folder, section)
+}
+
+fn assert_completed_without_loss(outcome: &Outcome, report: &Report) {
+    let text = outcome.text();
+    assert!(outcome.output.status.success(), "{text}");
+    assert!(text.contains("4. it has left"), "{text}");
+    assert!(outcome.new_process.is_running(), "{text}");
+    assert_eq!(report.violations, [OLD_PROCESS_EXITED], "{text}\n{report}");
+}
+
+/// Guards against a readiness check that does not speak the endpoint's protocol: the new process had
+/// taken the clients, and was killed with the requests that it had read.
+#[test]
+fn upgrade_completes_where_the_management_endpoint_speaks_tls() {
+    for (options, seed) in [
+        ("", 31),
+        (
+            "clients: { roots: 'ROOTS', required: true }, versions: ['1.2']",
+            32,
+        ),
+    ] {
+        let (folder, section) = management_tls(options);
+        let mut upgrade = Upgrade::start(folder, &section, 4.0, seed);
+        let mut command = upgrade.command();
+        let (outcome, report) = upgrade.run(command.args(["--ready-within", "1.5"]));
+        assert_completed_without_loss(&outcome, &report);
+    }
+}
+
+/// Guards against a check for another listener that fails to understand it: an address in use counted
+/// as free, both processes listened there, and the readiness of the old one was taken for the new one's.
+#[test]
+fn upgrade_rejects_a_management_address_in_use_whatever_its_listener_speaks() {
+    let (folder, section) = management_tls("");
+    let mut upgrade = Upgrade::start(folder, &section, 1.0, 33);
+    // Accepts connections by its backlog and never responds.
+    let silent_listener = TcpListener::bind("127.0.0.1:0").expect("bind a port");
+    let silent_address = silent_listener.local_addr().expect("the port of a socket");
+    let old_address = upgrade.trial.matcher.mgmt.expect("a management address");
+    for address in [old_address, silent_address] {
+        upgrade.new_management = address.to_string();
+        let mut command = upgrade.command();
+        let (outcome, report) = upgrade.run(&mut command);
+        let text = outcome.text();
+        assert_eq!(outcome.output.status.code(), Some(1), "{text}");
+        assert!(text.contains("another process listens on"), "{text}");
+        assert!(outcome.new_process.0.is_none(), "none was started: {text}");
+        assert_eq!(report.violations, Vec::<String>::new(), "{report}");
+    }
+}
