End the new process of an upgrade by SIGTERM, and go on where it is known to serve

What callers saw: whenever /_ready of the new process could not be read for `--ready-within`, or said 503, `cleatpulley upgrade` sent SIGKILL to it. If it had taken the clients, connections ended without a response to requests that had run. TLS was one reason for that; a management endpoint elsewhere, a listener that does not respond or a runtime that was lost after the takeover are others.

Cause: a check that failed counted as "has not taken over", which the command never verified, and the step that followed could not be undone.

Evidence: two tests force the crossing.

Change: a rollback is SIGTERM, so that the new process responds to all that it has read; it is killed only 2 s beyond its own stop time. Where /_ready gives no response, the owner of the handover socket decides (SO_PEERCRED, and a response on it, so that a process that hangs does not count): a process listens there from the moment it accepts clients. The decision is in cleatpulley_hot_restart::readiness, without I/O. What the command reports of the processes at its end is looked up: which one answers on the handover socket, whether the old one had exited before SIGTERM, whether the new one still runs.

Why it works: no process that may have read requests is killed before its stop time, by which it has responded to them.

--- a/crates/hot-restart/src/lib.rs
+++ b/crates/hot-restart/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`message`] | the messages between the two processes, and their codec |
 //! | [`predecessor`] | state machine of the process that passes its listening sockets and drains |
 //! | [`successor`] | state machine of the process that adopts the sockets and starts to serve |
+//! | [`readiness`] | how an upgrade continues after a readiness check of the new process |
 //! | [`snapshot`] | encoding of the overload controller's learned state for the handover |
 
 #![forbid(unsafe_code)]
@@ -21,6 +22,7 @@
 
 pub mod message;
 pub mod predecessor;
+pub mod readiness;
 pub mod snapshot;
 pub mod successor;
 
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -17,6 +17,7 @@
 //! | [`registry_client`] | periodic reports to the service registry |
 //! | [`management_endpoint`], [`status_report`] | readiness, metrics, supervisor reports |
 //! | [`hot_restart`], `handover_channel` | handover from a predecessor and to a successor |
+//! | [`serving_process`] | which process serves, as seen by another program |
 //! | [`persistence_thread`] | durable idempotency keys and cached results |
 //! | [`reputation_store`] | durable reputation of client addresses |
 //! | [`gossip`] | membership among the processes of an installation |
@@ -43,6 +44,7 @@
 pub mod reputation_store;
 pub mod runtime_link;
 pub mod server;
+pub mod serving_process;
 pub mod socket_owner;
 pub mod status_report;
 pub mod tls_layer;
--- a/src/commands/upgrade.rs
+++ b/src/commands/upgrade.rs
@@ -1,18 +1,28 @@
 //! `cleatpulley upgrade`: replaces a running server by a new process and shows each step.
 
 mod management_client;
+mod process;
+mod rollback;
 
 use crate::ConfigArgs;
 use clap::Args;
-use management_client::ManagementClient;
-use rustix::event::{poll, PollFd, PollFlags, Timespec};
-use rustix::process::{pidfd_open, pidfd_send_signal, Pid, PidfdFlags, Signal};
+use cleatpulley::config::Config;
+use cleatpulley::operator::OperatorSettings;
+use cleatpulley::server::host::HandoverAddress;
+use cleatpulley::server::serving_process::find_serving_process;
+use cleatpulley_hot_restart::readiness::{next_step, NextStep, ReadinessCheck, ServingProcess};
+use management_client::{ManagementClient, ManagementError};
+use process::{ProcessDescriptor, SignalOutcome};
+use rollback::{roll_back, RESPONSE_TIMEOUT};
+use rustix::process::Signal;
+use std::ffi::OsString;
+use std::fmt;
 use std::fs::File;
 use std::io;
-use std::os::fd::{AsFd, OwnedFd};
+use std::net::SocketAddr;
 use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
-use std::process::{Child, Command, ExitCode, Stdio};
+use std::process::{Child, Command, ExitCode, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
 const READY_POLL_INTERVAL: Duration = Duration::from_millis(5);
@@ -34,7 +44,8 @@
     /// The file that the log of the new process is appended to
     #[arg(long, value_name = "FILE")]
     log_file: PathBuf,
-    /// Seconds until the new process has to be ready; it is killed if it is not
+    /// Seconds until the new process has to be ready. If it is not, it is sent SIGTERM, responds to all that it has
+    /// read and exits, and the old process serves again
     #[arg(long, default_value_t = 6.0)]
     ready_within: f64,
     /// Seconds until the old process has to exit after SIGTERM; it is reported but not killed if it does not
@@ -47,148 +58,253 @@
 /// # Errors
 /// The upgrade failed; the error says why, and which process serves.
 pub fn run(upgrade: Upgrade) -> Result<ExitCode, String> {
-    let old_process =
-        open_process(upgrade.pid).map_err(|e| format!("--pid: process {}: {e}", upgrade.pid))?;
-    let args = upgrade.config_args.to_arguments();
+    let old_process = ProcessDescriptor::open(upgrade.pid)
+        .map_err(|e| format!("--pid: process {}: {e}", upgrade.pid))?;
+    let arguments = upgrade.config_args.to_arguments();
     let (config, operator, _) = upgrade.config_args.load()?;
-    let address = config.management.filter(|address| address.port() != 0);
-    let address =
-        address.ok_or("mgmt: the new process needs a management address with a port of its own")?;
-    let management = ManagementClient::new(address, &operator);
-    if !management
-        .is_address_free()
-        .map_err(|e| format!("mgmt: {address}: {e}"))?
-    {
-        return Err(format!(
-            "mgmt: another process listens on {address}; the new process needs another address"
-        ));
-    }
-    let program = match upgrade.program {
-        Some(program) => program,
-        None => std::env::current_exe().map_err(|e| e.to_string())?,
+    let management = create_management_client(&config, &operator)?;
+    let mut launch = Launch {
+        program: upgrade.program,
+        arguments,
+        upgrade_folder: upgrade.upgrade_folder,
+        log_file: upgrade.log_file,
     };
-    let log = File::options()
-        .create(true)
-        .append(true)
-        .open(&upgrade.log_file);
-    let log = log.map_err(|e| format!("--log-file: {}: {e}", upgrade.log_file.display()))?;
-    let mut command = Command::new(&program);
-    command
-        .arg("serve")
-        .args(args)
-        .arg("--upgrade-folder")
-        .arg(&upgrade.upgrade_folder);
-    command
-        .stdin(Stdio::null())
-        .stdout(Stdio::null())
-        .stderr(log);
-    // The new process has to outlive this command and its terminal.
-    command.process_group(0);
-    let mut new_process = command
-        .spawn()
-        .map_err(|e| format!("--program: {}: {e}", program.display()))?;
+    let mut new_process = launch.start()?;
+    let started_at = Instant::now();
+    let descriptor = ProcessDescriptor::open(new_process.id())
+        .map_err(|e| format!("process {}: {e}", new_process.id()))?;
     print_line!(
         "1. process {} started, log in {}",
         new_process.id(),
-        upgrade.log_file.display()
+        launch.log_file.display()
     );
-    let started_at = Instant::now();
-    if let Err(error) = wait_until_ready(
+    let handover_address = HandoverAddress {
+        folder: std::mem::take(&mut launch.upgrade_folder),
+        name: config.name,
+        address: config.listen,
+    };
+    let ready_timeout = Duration::from_secs_f64(upgrade.ready_within);
+    match wait_until_ready(
         &mut new_process,
         &management,
-        Duration::from_secs_f64(upgrade.ready_within),
+        &handover_address,
+        ready_timeout,
     ) {
-        // The new process has not taken over, so the old one accepts clients again immediately.
-        let _ = new_process.kill();
-        let _ = new_process.wait();
-        return Err(format!(
-            "{error}; it was killed, and process {} keeps serving",
-            upgrade.pid
-        ));
-    }
-    print_line!(
-        "2. it takes clients after {} ms",
-        started_at.elapsed().as_millis()
-    );
-    pidfd_send_signal(&old_process, Signal::TERM)
-        .map_err(|e| format!("process {}: {e}", upgrade.pid))?;
-    print_line!("3. process {} was sent SIGTERM", upgrade.pid);
-    let signaled_at = Instant::now();
-    if !wait_for_exit(&old_process, Duration::from_secs_f64(upgrade.left_within))
-        .map_err(|e| e.to_string())?
-    {
-        return Err(format!(
-            "process {} has not exited {} s after SIGTERM; process {} serves",
-            upgrade.pid,
-            upgrade.left_within,
-            new_process.id()
-        ));
+        Ok(readiness) => print_line!(
+            "2. it takes clients after {} ms{readiness}",
+            started_at.elapsed().as_millis()
+        ),
+        Err(reason) => {
+            let stop_time = Duration::from_micros(config.shutdown_time);
+            let report = roll_back(&old_process, &descriptor, stop_time, &handover_address)
+                .map_err(|e| format!("{reason}; process {}: {e}", new_process.id()))?;
+            return Err(format!("{reason}; {report}"));
+        }
     }
+    let left_timeout = Duration::from_secs_f64(upgrade.left_within);
+    let exit_time = terminate_old_process(&old_process, &mut new_process, left_timeout)?;
     print_line!(
         "4. it has left after {} ms; process {} serves at {}",
-        signaled_at.elapsed().as_millis(),
+        exit_time.as_millis(),
         new_process.id(),
-        config.listen
+        handover_address.address
     );
     Ok(ExitCode::SUCCESS)
 }
 
-/// Opens a process descriptor, which can't refer to another process if the id is reused.
-fn open_process(pid: u32) -> io::Result<OwnedFd> {
-    let pid = i32::try_from(pid)
-        .ok()
-        .and_then(Pid::from_raw)
-        .ok_or(io::ErrorKind::InvalidInput)?;
-    Ok(pidfd_open(pid, PidfdFlags::empty())?)
+/// Creates the client of the new process's management endpoint, at an address that is free.
+fn create_management_client(
+    config: &Config,
+    operator: &OperatorSettings,
+) -> Result<ManagementClient, String> {
+    let address = config.management.filter(|address| address.port() != 0);
+    let address =
+        address.ok_or("mgmt: the new process needs a management address with a port of its own")?;
+    let management = ManagementClient::new(address, operator);
+    let is_free = management
+        .is_address_free()
+        .map_err(|e| format!("mgmt: {address}: {e}"))?;
+    if !is_free {
+        return Err(format!(
+            "mgmt: another process listens on {address}; the new process needs another address"
+        ));
+    }
+    Ok(management)
 }
 
-/// Waits for the exit of a process, and returns whether it exits within the timeout.
-fn wait_for_exit(process: &OwnedFd, timeout: Duration) -> io::Result<bool> {
-    let deadline = Instant::now() + timeout;
-    loop {
-        let remaining = deadline.saturating_duration_since(Instant::now());
-        let poll_timeout = Timespec {
-            tv_sec: remaining.as_secs() as i64,
-            tv_nsec: i64::from(remaining.subsec_nanos()),
+/// How the new process is started.
+struct Launch {
+    /// The program; `None` for this one.
+    program: Option<PathBuf>,
+    /// Arguments that select the configuration.
+    arguments: Vec<OsString>,
+    upgrade_folder: PathBuf,
+    log_file: PathBuf,
+}
+
+impl Launch {
+    fn start(&self) -> Result<Child, String> {
+        let program = match &self.program {
+            Some(program) => program.clone(),
+            None => std::env::current_exe().map_err(|e| e.to_string())?,
         };
-        match poll(
-            &mut [PollFd::from_borrowed_fd(process.as_fd(), PollFlags::IN)],
-            Some(&poll_timeout),
-        ) {
-            Ok(ready_count) => return Ok(ready_count > 0),
-            Err(e) if e == rustix::io::Errno::INTR => {}
-            Err(e) => return Err(e.into()),
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log_file)
+            .map_err(|e| format!("--log-file: {}: {e}", self.log_file.display()))?;
+        let mut command = Command::new(&program);
+        command
+            .arg("serve")
+            .args(&self.arguments)
+            .arg("--upgrade-folder")
+            .arg(&self.upgrade_folder)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log);
+        // The new process has to outlive this command and its terminal.
+        command.process_group(0);
+        command
+            .spawn()
+            .map_err(|e| format!("--program: {}: {e}", program.display()))
+    }
+}
+
+/// Why the upgrade does not go on with the new process.
+#[derive(Debug, thiserror::Error)]
+enum NotReadyError {
+    #[error("the new process has exited with {0}: see its log")]
+    Exited(ExitStatus),
+    #[error("the new process is not ready after {timeout:?}: see its log; the last GET /_ready at {address}: {last_check}")]
+    TimedOut {
+        timeout: Duration,
+        address: SocketAddr,
+        last_check: CheckOutcome,
+    },
+    #[error("the new process can't be waited for: {0}")]
+    Wait(#[from] io::Error),
+}
+
+/// The outcome of a request of `/_ready`.
+#[derive(Debug)]
+enum CheckOutcome {
+    Status(u16),
+    NoResponse(ManagementError),
+}
+
+impl CheckOutcome {
+    fn as_readiness_check(&self) -> ReadinessCheck {
+        match self {
+            Self::Status(200) => ReadinessCheck::Ready,
+            Self::Status(_) => ReadinessCheck::NotReady,
+            Self::NoResponse(_) => ReadinessCheck::Unknown,
+        }
+    }
+}
+
+impl fmt::Display for CheckOutcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Status(status) => write!(f, "status {status}"),
+            Self::NoResponse(error) => error.fmt(f),
+        }
+    }
+}
+
+/// How it is known that the new process takes clients.
+enum Readiness {
+    Reported,
+    /// It answers on the handover socket, but its management endpoint does not respond.
+    Unreported(SocketAddr, ManagementError),
+}
+
+impl fmt::Display for Readiness {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Reported => Ok(()),
+            Self::Unreported(address, error) => {
+                write!(f, ", though GET /_ready at {address} fails: {error}")
+            }
         }
     }
 }
 
+/// Waits until the new process takes clients.
 fn wait_until_ready(
-    process: &mut Child,
+    new_process: &mut Child,
     management: &ManagementClient,
+    handover_address: &HandoverAddress,
     timeout: Duration,
-) -> Result<(), String> {
+) -> Result<Readiness, NotReadyError> {
+    let new_pid = new_process.id();
+    let serving_process = || match find_serving_process(handover_address, RESPONSE_TIMEOUT) {
+        Ok(pid) if pid == new_pid => ServingProcess::New,
+        Ok(_) => ServingProcess::Other,
+        Err(_) => ServingProcess::Unknown,
+    };
     let started_at = Instant::now();
     loop {
-        if let Ok(Some(status)) = process.try_wait() {
-            return Err(format!(
-                "the new process has exited with {status}: see its log"
-            ));
-        }
-        let outcome = management.request_ready_status();
-        if matches!(outcome, Ok(200)) {
-            return Ok(());
+        if let Some(status) = new_process.try_wait()? {
+            return Err(NotReadyError::Exited(status));
         }
-        if started_at.elapsed() > timeout {
-            let last_outcome = match outcome {
-                Ok(status) => format!("status {status}"),
-                Err(error) => error.to_string(),
-            };
-            return Err(format!(
-                "the new process is not ready after {timeout:?}: see its log; \
-                 the last GET /_ready at {}: {last_outcome}",
-                management.address()
-            ));
+        let last_check = match management.request_ready_status() {
+            Ok(status) => CheckOutcome::Status(status),
+            Err(error) => CheckOutcome::NoResponse(error),
+        };
+        let has_timed_out = started_at.elapsed() > timeout;
+        let step = next_step(
+            last_check.as_readiness_check(),
+            has_timed_out,
+            serving_process,
+        );
+        match (step, last_check) {
+            (NextStep::CheckAgain, _) => std::thread::sleep(READY_POLL_INTERVAL),
+            (NextStep::TerminateOld, CheckOutcome::Status(_)) => return Ok(Readiness::Reported),
+            (NextStep::TerminateOld, CheckOutcome::NoResponse(error)) => {
+                return Ok(Readiness::Unreported(management.address(), error));
+            }
+            (NextStep::RollBack, last_check) => {
+                return Err(NotReadyError::TimedOut {
+                    timeout,
+                    address: management.address(),
+                    last_check,
+                });
+            }
         }
-        std::thread::sleep(READY_POLL_INTERVAL);
     }
 }
+
+/// Tells the old process to leave, and returns the time until its exit.
+fn terminate_old_process(
+    old_process: &ProcessDescriptor,
+    new_process: &mut Child,
+    timeout: Duration,
+) -> Result<Duration, String> {
+    let old_pid = old_process.pid;
+    let outcome = old_process
+        .send_signal(Signal::TERM)
+        .map_err(|e| format!("process {old_pid}: {e}"))?;
+    match outcome {
+        SignalOutcome::Sent => print_line!("3. process {old_pid} was sent SIGTERM"),
+        SignalOutcome::AlreadyExited => print_line!("3. process {old_pid} had already exited"),
+    }
+    let signaled_at = Instant::now();
+    let has_left = old_process
+        .wait_for_exit(timeout)
+        .map_err(|e| format!("process {old_pid}: {e}"))?;
+    let exit_time = signaled_at.elapsed();
+    if let Some(status) = new_process.try_wait().map_err(|e| e.to_string())? {
+        return Err(format!(
+            "process {} has exited with {status} after process {old_pid} was sent SIGTERM: start a process at once",
+            new_process.id()
+        ));
+    }
+    if !has_left {
+        return Err(format!(
+            "process {old_pid} has not exited {} s after SIGTERM; process {} serves",
+            timeout.as_secs_f64(),
+            new_process.id()
+        ));
+    }
+    Ok(exit_time)
+}
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -1,4 +1,5 @@
-//! `cleatpulley upgrade` on real processes under load.
+//! `cleatpulley upgrade` on real processes under load: it ends no process that has taken the clients
+//! before that has responded to all that it has read, whatever keeps `/_ready` from being read.
 
 use cleatpulley_emulators::callers::Protocol;
 use cleatpulley_emulators::host::with_lock;
@@ -6,7 +7,9 @@
 use cleatpulley_emulators::trial::{Load, Report, RunningTrial, Trial};
 use cleatpulley_tls::authority;
 use rustix::process::{kill_process, test_kill_process, Pid, Signal};
+use std::io::{Read, Write};
 use std::net::TcpListener;
+use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -247,3 +250,87 @@
         assert_eq!(report.violations, Vec::<String>::new(), "{report}");
     }
 }
+
+/// Writes a program that runs this one with further arguments once the file `go` exists; it creates
+/// the file `started` first.
+fn write_wrapper(upgrade: &Upgrade, arguments: &str) -> PathBuf {
+    let path = upgrade.path("wrapper.sh");
+    let folder = upgrade.folder.path().display();
+    let program = program();
+    let text = format!(
+        "#!/bin/sh\n: > {folder}/started\nwhile [ ! -e {folder}/go ]; do sleep 0.01; done\n\
+         exec {} \"$@\" {arguments}\n",
+        program.display()
+    );
+    std::fs::write(&path, text).expect("write the file");
+    let permissions = std::fs::Permissions::from_mode(0o755);
+    std::fs::set_permissions(&path, permissions).expect("make the file executable");
+    path
+}
+
+fn wait_for_file(path: &Path) {
+    while !path.exists() {
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// Responds with status 503 to each request at an address, as the management endpoint of a process
+/// that does not accept clients. Ends with the test.
+fn respond_not_ready(address: &str) {
+    let listener = TcpListener::bind(address).expect("bind the port");
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut request = [0; 1_024];
+            let _ = stream.read(&mut request);
+            let _ =
+                stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+        }
+    });
+}
+
+/// Guards against a readiness that can't be read and counts as "not ready": the new process has taken
+/// the clients and serves, so the upgrade goes on instead of killing it.
+#[test]
+fn upgrade_completes_where_the_new_process_serves_and_its_management_endpoint_does_not_respond() {
+    let folder = tempfile::tempdir().expect("create a folder");
+    let mut upgrade = Upgrade::start(folder, "", 4.0, 34);
+    // The new process serves its management endpoint elsewhere, so that nothing listens where it is
+    // expected.
+    let wrapper = write_wrapper(&upgrade, "--mgmt 127.0.0.1:0");
+    std::fs::write(upgrade.path("go"), "").expect("write the file");
+    let mut command = upgrade.command();
+    command.args(["--ready-within", "1"]).arg("--program");
+    let (outcome, report) = upgrade.run(command.arg(wrapper));
+    assert_completed_without_loss(&outcome, &report);
+    assert!(outcome.text().contains("GET /_ready at"), "{report}");
+}
+
+/// Guards against a rollback that kills the new process: it has taken the clients although it reports
+/// that it is not ready, and has to respond to all that it has read before it ends.
+#[test]
+fn rollback_of_an_upgrade_loses_no_request_that_the_new_process_has_read() {
+    let folder = tempfile::tempdir().expect("create a folder");
+    let mut upgrade = Upgrade::start(folder, "", 7.0, 35);
+    let wrapper = write_wrapper(&upgrade, "--mgmt 127.0.0.1:0");
+    let management = upgrade.new_management.clone();
+    let (started, go) = (upgrade.path("started"), upgrade.path("go"));
+    std::thread::spawn(move || {
+        wait_for_file(&started);
+        respond_not_ready(&management);
+        std::fs::write(go, "").expect("write the file");
+    });
+    let mut command = upgrade.command();
+    command.args(["--ready-within", "1"]).arg("--program");
+    let (outcome, report) = upgrade.run(command.arg(wrapper));
+    let text = outcome.text();
+    assert_eq!(report.violations, Vec::<String>::new(), "{text}\n{report}");
+    assert_eq!(outcome.output.status.code(), Some(1), "{text}");
+    let new_log = std::fs::read_to_string(upgrade.path("new.log")).unwrap_or_default();
+    assert!(new_log.contains("upgrade: takes clients"), "{new_log}");
+    assert!(!outcome.new_process.is_running(), "{text}");
+    let serving = format!("process {} serves", upgrade.trial.matcher.pid());
+    assert!(
+        text.contains("it has drained and exited") && text.contains(&serving),
+        "{text}"
+    );
+}
