Keep the results in the temporary folder when an upgrade is rolled back

Whether other processes may use the folder of results was read from a field that is empty for another reason too: it is taken out while the steps of the hot restart run. ResumeServing is such a step; it closed the store by the function for the end of the process, found the field empty, concluded that no other process exists and removed the folder, with the keys of both processes.

Change: whether there is a handover folder is stored when the server is made and doesn't change. Taking the keys back closes the store without the rest of a process's end.

--- a/crates/server/src/server/handover.rs
+++ b/crates/server/src/server/handover.rs
@@ -231,7 +231,10 @@
         };
         self.dispatcher
             .reclaim_keys(KeyTable::new(settings.capacity));
-        self.close();
+        // The folder now has the successor's keys as well, and is recovered from.
+        if let Some(storage) = self.key_persistence.storage.take() {
+            storage.stop();
+        }
         self.open_key_persistence();
     }
 
--- a/crates/server/src/server/shutdown.rs
+++ b/crates/server/src/server/shutdown.rs
@@ -133,7 +133,7 @@
         }
         match self.key_persistence.storage.take() {
             // Another process of this server may use the keys.
-            Some(storage) if self.handover.hot_restart.is_some() => storage.stop(),
+            Some(storage) if self.handover.has_handover_folder => storage.stop(),
             Some(storage) => storage.discard(),
             None => {}
         }
--- a/crates/server/src/server/state.rs
+++ b/crates/server/src/server/state.rs
@@ -177,8 +177,10 @@
 
 /// State of the handover from a predecessor and to a successor.
 pub(super) struct Handover<H: Host> {
-    /// `None` without a handover folder.
+    /// `None` without a handover folder, and while the steps of the hot restart are executed.
     pub(super) hot_restart: Option<HotRestart<H>>,
+    /// Other processes of this server may succeed or precede this one.
+    pub(super) has_handover_folder: bool,
     /// When listening is retried after a shortage of file descriptors.
     pub(super) retry_listen_at: Option<Micros>,
     /// Fatal error of listening; the process has to end.
@@ -194,6 +196,7 @@
 impl<H: Host> Handover<H> {
     pub(super) fn new(hot_restart: Option<HotRestart<H>>, max_client_connections: usize) -> Self {
         Self {
+            has_handover_folder: hot_restart.is_some(),
             hot_restart,
             retry_listen_at: None,
             listen_error: None,
--- a/tests/idempotency.rs
+++ b/tests/idempotency.rs
@@ -40,6 +40,7 @@
 struct FrameClient {
     stream: TcpStream,
     streams: u32,
+    key_field: &'static str,
 }
 
 impl FrameClient {
@@ -48,7 +49,11 @@
         stream
             .set_read_timeout(Some(Duration::from_secs(10)))
             .expect("set the timeout");
-        Self { stream, streams: 0 }
+        Self {
+            stream,
+            streams: 0,
+            key_field: KEY_FIELD,
+        }
     }
 
     fn send_request(&mut self, id: u64, key: &str, body: &str) {
@@ -65,7 +70,7 @@
             ("cpu", "2.0"),
             ("ram", "10"),
             ("standing", "0.5"),
-            (KEY_FIELD, key),
+            (self.key_field, key),
         ];
         let mut payload = vec![fields.len() as u8];
         for (name, value) in fields {
@@ -382,3 +387,57 @@
         new.log().join("\n")
     );
 }
+
+/// Guards against a rolled back upgrade after which the old process removes the results in the
+/// temporary folder: the keys that either process had run ran again.
+#[test]
+fn a_rolled_back_upgrade_keeps_the_results_of_both_processes() {
+    let mut setup = KillTrial::site(5);
+    setup.runtime_address_count = 2;
+    let mut site = Site::start(setup).expect("start the emulated services");
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bind a port");
+    let address = listener.local_addr().expect("the port of a socket");
+    drop(listener);
+    // Both processes find the folder by the address, so the system must not choose it.
+    site.config["listen"] = address.to_string().into();
+    let class = &mut site.config["settings"]["classes"][0];
+    class["effect"] = "deduplicated".into();
+    class["repeat_window"] = 30_000_000.into();
+    let mut old = Matcher::start(&program(), &site.config, None).expect("start the process");
+    let keys = [format!("{:032x}", 1), format!("{:032x}", 2)];
+    let connect = |matcher: &Matcher| FrameClient {
+        key_field: "unique",
+        ..FrameClient::new(matcher)
+    };
+    let mut client = connect(&old);
+    client.send_request(1, &keys[0], "seat 7");
+    let first = client.read_response();
+    let mut config = site.config.clone();
+    config["runtime"] = site.runtime_addresses[1].to_string().into();
+    let mut new = old
+        .start_successor(&program(), &config)
+        .expect("start the process");
+    new.wait_ready(Duration::from_secs(6))
+        .expect("the new process is ready");
+    let mut client = connect(&new);
+    client.send_request(2, &keys[1], "seat 8");
+    let second = client.read_response();
+    drop(client);
+
+    new.terminate();
+    new.wait_for_exit(Duration::from_secs(5))
+        .expect("the new process exits");
+    old.wait_for_log("takes clients again")
+        .expect("the old process serves");
+    let mut client = connect(&old);
+    client.send_request(3, &keys[0], "seat 7");
+    assert_eq!(client.read_response(), first);
+    client.send_request(4, &keys[1], "seat 8");
+    assert_eq!(client.read_response(), second);
+    assert_eq!((first.0, second.0), (0, 0));
+    assert_eq!(
+        with_lock(&site.runtime, |runtime| runtime.stats.starts.len()),
+        2,
+        "one run for each key"
+    );
+}
