Ask whether the predecessor still serves before a successor accepts beside it

What callers saw: during an upgrade whose new process has no runtime for 10 s, that process began to accept clients beside the old one, which served on; requests on such connections waited for a runtime that was not there.

The predecessor closes the connection when a successor takes too long, so that another one can connect. The successor took the closed connection for the end of the predecessor, accepted from the shared queue without a runtime, and asked for the store of keys.

Change: a successor whose connection ends before the handover connects again, and serves only if no process answers; where the predecessor has ended, that is at once, as the second test shows. The old process logs that it stopped waiting.

The assertion of `serves_when_its_predecessor_is_lost_or_hangs_after_passing_listeners` on a lost predecessor stated the fault: that a closed connection alone is followed by StartAccepting. It now requires the attempt to connect, and the same effects once that has failed.

--- a/crates/hot-restart/src/successor.rs
+++ b/crates/hot-restart/src/successor.rs
@@ -9,6 +9,9 @@
 /// Delay before a retry with a predecessor that rejected this process: it may have been busy with
 /// another successor.
 const RETRY_DELAY: Micros = 100_000;
+/// Delay before a retry with a predecessor that rejected this process after it had passed its
+/// sockets: it serves, and another successor may be connected to it.
+const REJECTED_AGAIN_RETRY_DELAY: Micros = 1_000_000;
 /// Time since the start of the successor during which it retries with a predecessor that rejected
 /// it or whose sockets it could not adopt.
 const RETRY_PERIOD: Micros = 3_000_000;
@@ -72,6 +75,8 @@
     started_at: Micros,
     /// When the predecessor was first lost before it had passed its sockets.
     predecessor_lost_at: Option<Micros>,
+    /// The predecessor has passed its sockets, on this connection or on an earlier one.
+    has_listeners: bool,
 }
 
 impl Successor {
@@ -89,6 +94,7 @@
             state: State::Serving,
             started_at: now,
             predecessor_lost_at: None,
+            has_listeners: false,
         };
         let effects = successor.on_connected(now);
         (successor, effects)
@@ -124,8 +130,12 @@
                 },
             ) if self.is_offer_acceptable(&addresses, socket_count) => {
                 self.state = State::ListenersAdopted;
+                self.has_listeners = true;
                 vec![Effect::AdoptListeners(addresses)]
             }
+            (State::AwaitingOffer { .. }, Message::Rejected { .. }) if self.has_listeners => {
+                self.schedule_retry(now + REJECTED_AGAIN_RETRY_DELAY)
+            }
             (State::AwaitingOffer { .. }, Message::Rejected { .. }) if self.may_retry(now) => {
                 self.schedule_retry(now + RETRY_DELAY)
             }
@@ -198,7 +208,7 @@
     /// decoded.
     pub fn on_disconnected(&mut self, now: Micros) -> Vec<Effect> {
         match self.state {
-            State::AwaitingOffer { .. } | State::AwaitingRetry { .. } => {
+            State::AwaitingOffer { .. } | State::AwaitingRetry { .. } if !self.has_listeners => {
                 let lost_at = *self.predecessor_lost_at.get_or_insert(now);
                 if now < lost_at + PREDECESSOR_SEARCH_TIME {
                     self.schedule_retry(now + PREDECESSOR_SEARCH_INTERVAL)
@@ -206,7 +216,10 @@
                     self.continue_without_predecessor()
                 }
             }
-            State::ListenersAdopted | State::AwaitingHandover { .. } | State::Serving => {
+            // The predecessor may have closed the connection because the handover took too long, and
+            // serve. Only if it can't be connected to is it gone.
+            State::ListenersAdopted | State::AwaitingHandover { .. } => self.schedule_retry(now),
+            State::AwaitingOffer { .. } | State::AwaitingRetry { .. } | State::Serving => {
                 self.continue_without_predecessor()
             }
         }
@@ -219,20 +232,26 @@
         if !self.may_retry(now) || self.state != State::ListenersAdopted {
             return Vec::new();
         }
+        self.has_listeners = false;
         self.schedule_retry(now + RETRY_DELAY)
     }
 
     /// Starts to serve, or continues to, independently of the predecessor.
     fn continue_without_predecessor(&mut self) -> Vec<Effect> {
         let effects = match self.state {
-            State::AwaitingOffer { .. } | State::AwaitingRetry { .. } => vec![
-                Effect::Close,
-                Effect::BindAllListeners,
-                Effect::OpenStore,
-                Effect::StartAccepting,
-            ],
+            State::AwaitingOffer { .. } | State::AwaitingRetry { .. } if !self.has_listeners => {
+                vec![
+                    Effect::Close,
+                    Effect::BindAllListeners,
+                    Effect::OpenStore,
+                    Effect::StartAccepting,
+                ]
+            }
             // The listening sockets were adopted, and no other process accepts from them.
-            State::ListenersAdopted | State::AwaitingHandover { .. } => {
+            State::AwaitingOffer { .. }
+            | State::AwaitingRetry { .. }
+            | State::ListenersAdopted
+            | State::AwaitingHandover { .. } => {
                 vec![Effect::Close, Effect::OpenStore, Effect::StartAccepting]
             }
             State::Serving => vec![Effect::Close, Effect::OpenStore, Effect::PredecessorLost],
--- a/crates/hot-restart/src/successor/tests.rs
+++ b/crates/hot-restart/src/successor/tests.rs
@@ -176,9 +176,12 @@
 fn serves_when_its_predecessor_is_lost_or_hangs_after_passing_listeners() {
     let mut predecessor_lost = connected_successor();
     predecessor_lost.on_message(1, offer(5), 1);
+    assert_eq!(predecessor_lost.on_disconnected(2), [Effect::Close]);
+    assert_eq!(predecessor_lost.poll(2, false), [Effect::Reconnect]);
     assert_eq!(
         predecessor_lost.on_disconnected(2),
-        [Effect::Close, Effect::OpenStore, Effect::StartAccepting]
+        [Effect::Close, Effect::OpenStore, Effect::StartAccepting],
+        "the predecessor can't be connected to"
     );
     let mut predecessor_hangs = connected_successor();
     predecessor_hangs.on_message(1, offer(5), 1);
@@ -192,3 +195,32 @@
         [Effect::StartAccepting]
     );
 }
+
+#[test]
+fn does_not_serve_when_a_predecessor_that_serves_has_closed_the_connection() {
+    let mut successor = connected_successor();
+    successor.on_message(1, offer(5), 1);
+    assert_eq!(successor.on_disconnected(2), [Effect::Close]);
+    assert_eq!(successor.poll(2, false), [Effect::Reconnect]);
+    successor.on_connected(2);
+    assert!(!successor.is_serving());
+    let busy = Message::Rejected {
+        reason: "busy".into(),
+    };
+    let late = RETRY_PERIOD * 9;
+    assert_eq!(successor.on_message(late, busy, 0), [Effect::Close]);
+    assert_eq!(
+        successor.poll(late + REJECTED_AGAIN_RETRY_DELAY, false),
+        [Effect::Reconnect]
+    );
+    successor.on_connected(late);
+    assert_eq!(
+        successor.on_message(late, offer(5), 1),
+        [Effect::AdoptListeners(vec![address(5)])]
+    );
+    assert_eq!(
+        successor.poll(late, true),
+        [Effect::Send(Message::HandoverRequest {})]
+    );
+    assert!(!successor.is_serving());
+}
--- a/crates/server/src/hot_restart.rs
+++ b/crates/server/src/hot_restart.rs
@@ -218,6 +218,11 @@
         }
         self.read_successor(now, listeners, steps);
         let effects = self.successor.protocol.poll(now, &usage);
+        if effects.contains(&predecessor::Effect::Close) {
+            tracing::warn!(
+                "upgrade: the successor did not take over in time; its connection is closed"
+            );
+        }
         if effects.contains(&predecessor::Effect::FindServingProcess) {
             return self.find_serving_process(now, listeners, usage, steps);
         }
--- a/crates/server/src/hot_restart/predecessor_messages.rs
+++ b/crates/server/src/hot_restart/predecessor_messages.rs
@@ -31,7 +31,11 @@
                     predecessor.protocol.on_message(now, message, socket_count)
                 }
                 Err(error) => {
-                    tracing::info!(%error, "upgrade: the predecessor is gone");
+                    if predecessor.protocol.is_serving() {
+                        tracing::info!(%error, "upgrade: the predecessor is gone");
+                    } else {
+                        tracing::info!(%error, "upgrade: the connection to the predecessor is lost");
+                    }
                     predecessor.protocol.on_disconnected(now)
                 }
             };
--- a/crates/server/src/hot_restart/tests.rs
+++ b/crates/server/src/hot_restart/tests.rs
@@ -10,11 +10,20 @@
     hot_restart: &mut HotRestart<OsHost>,
     now: Micros,
     listeners: &[(SocketAddr, Option<&crate::os_host::Listener>)],
+) -> Vec<HotRestartStep<OsHost>> {
+    poll_with(hot_restart, now, true, listeners)
+}
+
+fn poll_with(
+    hot_restart: &mut HotRestart<OsHost>,
+    now: Micros,
+    can_serve: bool,
+    listeners: &[(SocketAddr, Option<&crate::os_host::Listener>)],
 ) -> Vec<HotRestartStep<OsHost>> {
     let mut steps = Vec::new();
     // The event loop that reports readiness does not run in this test.
     hot_restart.on_acceptable();
-    hot_restart.poll(now, true, listeners, ProcessUsage::default, &mut steps);
+    hot_restart.poll(now, can_serve, listeners, ProcessUsage::default, &mut steps);
     steps
 }
 
@@ -219,3 +228,80 @@
     assert!(!third.has_predecessor());
     std::fs::remove_dir_all(&folder).expect("folder is removed");
 }
+
+/// Guards against a closed connection that counts as the end of the predecessor: that had only waited
+/// for too long for a successor without a runtime, which then accepted clients beside it.
+#[test]
+fn successor_without_a_runtime_does_not_accept_beside_a_predecessor_that_stopped_waiting() {
+    let event_loop: EventLoop<'static, Box<dyn Service>> =
+        EventLoop::try_new().expect("event loop is created");
+    let host = OsHost::new(event_loop.handle());
+    let folder = tempfile::tempdir().expect("folder is created");
+    let (listener, address) = host
+        .listen(SocketAddr::from(([127, 0, 0, 1], 0)), 0)
+        .expect("listener is created");
+    let handover_address = HandoverAddress {
+        folder: folder.path().to_owned(),
+        name: "n1".to_owned(),
+        address,
+    };
+    let unbound_address = HandoverAddress {
+        address: SocketAddr::from(([127, 0, 0, 1], 0)),
+        ..handover_address.clone()
+    };
+    let mut predecessor = HotRestart::new(host.clone(), unbound_address, &[]);
+    predecessor.listen_for_successors(address);
+    let listeners = [(address, Some(&listener))];
+    let mut successor = HotRestart::new(host.clone(), handover_address, &[address]);
+    let mut now = host.now();
+    for _ in 0..3 {
+        poll(&mut predecessor, now, &listeners);
+        poll_with(&mut successor, now, false, &[]);
+        now += predecessor::HANDOVER_TIMEOUT;
+        poll(&mut predecessor, now, &listeners);
+        let steps = poll_with(&mut successor, now, false, &[]);
+        assert!(steps.is_empty(), "neither serves nor opens the store");
+        assert!(!successor.is_serving() && predecessor.is_serving());
+    }
+    // Its runtime is up now.
+    poll(&mut predecessor, now, &listeners);
+    poll(&mut successor, now, &[]);
+    poll(&mut successor, now, &[]);
+    poll(&mut predecessor, now, &listeners);
+    assert!(predecessor.has_yielded());
+    predecessor.on_connections_yielded(ProcessUsage::default(), String::new(), Vec::new());
+    poll(&mut successor, now, &[]);
+    assert!(successor.is_serving());
+}
+
+/// Guards against a successor that goes on searching for a predecessor that has ended.
+#[test]
+fn successor_without_a_runtime_accepts_at_once_when_its_predecessor_has_ended() {
+    let event_loop: EventLoop<'static, Box<dyn Service>> =
+        EventLoop::try_new().expect("event loop is created");
+    let host = OsHost::new(event_loop.handle());
+    let folder = tempfile::tempdir().expect("folder is created");
+    let (listener, address) = host
+        .listen(SocketAddr::from(([127, 0, 0, 1], 0)), 0)
+        .expect("listener is created");
+    let handover_address = HandoverAddress {
+        folder: folder.path().to_owned(),
+        name: "n1".to_owned(),
+        address,
+    };
+    let unbound_address = HandoverAddress {
+        address: SocketAddr::from(([127, 0, 0, 1], 0)),
+        ..handover_address.clone()
+    };
+    let mut predecessor = HotRestart::new(host.clone(), unbound_address, &[]);
+    predecessor.listen_for_successors(address);
+    let listeners = [(address, Some(&listener))];
+    let mut successor = HotRestart::new(host.clone(), handover_address, &[address]);
+    let now = host.now();
+    poll(&mut predecessor, now, &listeners);
+    poll_with(&mut successor, now, false, &[]);
+    drop(predecessor);
+    let steps = poll_with(&mut successor, now, false, &[]);
+    let serves = |step: &HotRestartStep<OsHost>| matches!(step, HotRestartStep::Serve);
+    assert!(steps.iter().any(serves) && successor.is_serving());
+}
