Don't take the clients over once told to leave

What callers saw: a new process that was sent SIGTERM before its runtime was up, as a rollback does, took the clients over when the runtime came within its drain, and rejected them until it stopped; for up to 3 s no process accepted requests.

Cause: a successor asks for the handover when its runtime is ready, whether or not it is leaving. The predecessor can't know.

Evidence: the new test holds the runtime back until the new process has logged `leaving within`; before, that process then logs `takes clients`, and `left` 3.0 s later.

Change: a process that was told to leave counts as one that can't serve. If its predecessor ends, it still accepts and drains, as that is decided by the lost connection.

--- a/crates/server/src/server/handover.rs
+++ b/crates/server/src/server/handover.rs
@@ -30,9 +30,11 @@
         loop {
             let mut steps = Vec::new();
             let listeners: Vec<_> = self.adapters.client_listener.listeners().collect();
-            // A process that does not listen yet can't accept clients.
-            let can_serve =
-                self.adapters.runtime.is_ready() && self.handover.retry_listen_at.is_none();
+            // A process that does not listen yet can't accept clients, and one that was told to
+            // leave would only reject them.
+            let can_serve = self.adapters.runtime.is_ready()
+                && self.handover.retry_listen_at.is_none()
+                && !self.shutdown.has_begun();
             let usage = || self.combined_usage();
             hot_restart.poll(now, can_serve, &listeners, usage, &mut steps);
             let adopts_listeners = steps
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -7,7 +7,7 @@
 use cleatpulley_emulators::trial::{Load, RunningTrial, Trial};
 use serde_json::Value;
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -360,3 +360,61 @@
     );
     assert_eq!(matcher.get("/_ready").expect("get a response").0, 200);
 }
+
+/// Forwards connections to an address, from the moment it is started.
+fn forward_connections(from: SocketAddr, to: SocketAddr) {
+    let listener = TcpListener::bind(from).expect("bind the port");
+    std::thread::spawn(move || {
+        for incoming in listener.incoming().flatten() {
+            let Ok(outgoing) = TcpStream::connect(to) else {
+                return;
+            };
+            for (source, target) in [(&incoming, &outgoing), (&outgoing, &incoming)] {
+                let (mut source, mut target) = (
+                    source.try_clone().expect("clone the socket"),
+                    target.try_clone().expect("clone the socket"),
+                );
+                std::thread::spawn(move || {
+                    let _ = std::io::copy(&mut source, &mut target);
+                    let _ = target.shutdown(std::net::Shutdown::Write);
+                });
+            }
+        }
+    });
+}
+
+/// Guards against a rollback that still gives way to the new process: its runtime comes up after it was
+/// told to leave, and it would take the clients only to reject them.
+#[test]
+fn a_process_that_was_told_to_leave_does_not_take_the_clients() {
+    let trial = under_load(0.4, 5.0, 2, 19);
+    let mut trial_run = trial.start(&program()).expect("start the process");
+    let unused = TcpListener::bind("127.0.0.1:0").expect("bind a port");
+    let runtime_address = unused.local_addr().expect("the port of a socket");
+    drop(unused);
+    let mut config = trial_run.site.config.clone();
+    config["runtime"] = runtime_address.to_string().into();
+    let mut new = trial_run
+        .matcher
+        .start_successor(&program(), &config)
+        .expect("start the process");
+    new.wait_for_log("which was passed on")
+        .expect("the new process has the listeners");
+    new.terminate();
+    new.wait_for_log("leaving within")
+        .expect("the new process was told to leave");
+    forward_connections(runtime_address, trial_run.site.runtime_addresses[1]);
+    new.wait_for_log("runtime: running")
+        .expect("its runtime is up");
+    assert!(new
+        .wait_for_exit(Duration::from_secs(5))
+        .expect("wait for the exit")
+        .success());
+    while !all_callers_done(&trial_run) {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let new_log = new.log().join("\n");
+    assert!(!new_log.contains("takes clients"), "{new_log}");
+    let report = trial_run.check_rules();
+    assert_eq!(report.violations, Vec::<String>::new(), "{report}");
+}
