Don't take the daemon's own delay for the silence of its instances

What callers saw: instances of a fleet that served were killed with the requests that they had read, as "it hung", after the daemon had been blocked for longer than `timeouts_ms.silent`: by the start of a process, a slow disk under its store or logs.

What had arrived meanwhile wasn't read, so the check failed for a reason that lay in the daemon.

Evidence: the new test blocks the daemon while it starts the first instance of a replacement (its log is a pipe without a reader for 2.5 s). Before, both serving instances end as "it hung"; after, none fails and the replacement completes.

Change: timeouts are judged at the time before the poll, up to which all reports are read; connections accepted in an iteration are read in it.

Result: the test fails before and passes now.

--- a/crates/fleet/src/daemon.rs
+++ b/crates/fleet/src/daemon.rs
@@ -565,12 +565,13 @@
         // Handles the reports of several instances in one iteration, instead of one iteration for each report.
         std::thread::sleep(MIN_POLL_INTERVAL.saturating_sub(self.last_poll.elapsed()));
         self.last_poll = Instant::now();
-        let now = self.now();
+        // Status reports that were sent before this time are read in this iteration.
+        let polled_at = self.now();
         let timeout = self
             .state
             .plan
-            .next_deadline(now)
-            .map_or(1_000_000, |at| at.saturating_sub(now).min(1_000_000));
+            .next_deadline(polled_at)
+            .map_or(1_000_000, |at| at.saturating_sub(polled_at).min(1_000_000));
         let incarnations: Vec<u64> = self.processes.keys().copied().collect();
         let ready: Vec<bool> = {
             let read = PollFlags::IN;
@@ -612,6 +613,11 @@
         };
         let (links, operators) = (self.links.len(), self.operators.len());
         let exited = &ready[2 + links + operators..];
+        if ready[0] {
+            accept_all(&self.status_listener, |stream| {
+                self.links.push(InstanceLink::new(stream));
+            });
+        }
         // Exits are handled first: earlier status reports of an ended process no longer count.
         for (incarnation, _) in incarnations
             .iter()
@@ -625,7 +631,8 @@
                 self.close_unused_shared_listener();
             }
         }
-        for index in (0..links).rev().filter(|index| ready[2 + index]) {
+        let is_readable = |index: &usize| *index >= links || ready[2 + index];
+        for index in (0..self.links.len()).rev().filter(is_readable) {
             if !self.read_link(index)? {
                 self.links.swap_remove(index);
             }
@@ -638,11 +645,6 @@
                 self.operators.swap_remove(index);
             }
         }
-        if ready[0] {
-            accept_all(&self.status_listener, |stream| {
-                self.links.push(InstanceLink::new(stream));
-            });
-        }
         if ready[1] {
             accept_all(&self.control_listener, |stream| {
                 self.operators.push(OperatorConnection {
@@ -652,9 +654,12 @@
                 });
             });
         }
-        let (now, mut effects) = (self.now(), Vec::new());
-        self.state.plan.handle_timeouts(now, &mut effects);
+        // The events above may have taken long, for example to start a process. In that time reports may
+        // have arrived that are not read yet, so it does not count as silence.
+        let mut effects = Vec::new();
+        self.state.plan.handle_timeouts(polled_at, &mut effects);
         self.execute_effects(effects)?;
+        let now = self.now();
         if let Ok(MaintenanceStatus::MoreToDo) =
             self.store.run_maintenance_step(now, MAINTENANCE_BYTES)
         {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -3,7 +3,9 @@
 
 use cleatpulley_emulators::callers::request_frame;
 use cleatpulley_emulators::site::{Setup, Site};
-use cleatpulley_fleet::control_protocol::{ControlCommand, ControlResponse, FleetView};
+use cleatpulley_fleet::control_protocol::{
+    ControlCommand, ControlResponse, FleetView, TerminatedInstanceView,
+};
 use cleatpulley_fleet::daemon::send_command;
 use cleatpulley_fleet::plan::Phase;
 use std::collections::BTreeSet;
@@ -380,6 +382,36 @@
     fleet.shut_down();
 }
 
+/// Guards against a daemon that takes its own delay for the silence of instances: it was blocked while it
+/// started a process, and then killed instances whose reports it had not read.
+#[test]
+fn instances_that_report_while_the_daemon_is_blocked_are_not_killed() {
+    let mut fleet = TestFleet::new(2, 1, "batch: 1, minimum: 1");
+    fleet.start_daemon();
+    fleet.wait_until("all warm", |view| view.converged);
+    // The first new instance starts in the unused slot: opening its log blocks until the pipe has a
+    // reader.
+    let log = fleet.state_folder().join("logs/m2.log");
+    let status = Command::new("mkfifo").arg(&log).status();
+    assert!(status.expect("runs mkfifo").success());
+    std::thread::scope(|scope| {
+        let replacement = scope.spawn(|| fleet.replace(2));
+        std::thread::sleep(Duration::from_millis(2_500));
+        let mut reader = std::fs::File::open(&log).expect("opens the pipe");
+        std::fs::remove_file(&log).expect("removes the pipe");
+        std::thread::spawn(move || std::io::copy(&mut reader, &mut std::io::sink()));
+        let replacement = replacement.join().expect("the command has ended");
+        replacement.expect("the replacement begins");
+    });
+    let view = fleet.wait_until("all replaced", |view| view.converged);
+    let has_failed = |instance: &TerminatedInstanceView| instance.failure_reason.is_some();
+    assert!(
+        !view.terminated.iter().any(has_failed) && view.stable_generation == 2,
+        "{view:#?}"
+    );
+    fleet.shut_down();
+}
+
 /// Sets the number of descriptors that a process may open; `None` restores the limit of this process.
 fn set_descriptor_limit(pid: u32, max_descriptors: Option<u64>) {
     use rustix::process::{prlimit, Pid, Resource, Rlimit};
