Don't take a shortage of the fleet daemon's descriptors for the end of its instances

What callers saw: where `fleet up` was started again with too few descriptors, instances that served were killed with the requests that they had read.

A process that could not be opened, for whatever reason, counted as ended: others were started in its slot, and it was killed when it reported. The search for processes that were not saved had the same flaw.

Change: only an error that says that there is no such process means that it has ended. With any other the daemon exits with the error, and the instances serve on.

--- a/crates/fleet/src/daemon.rs
+++ b/crates/fleet/src/daemon.rs
@@ -328,8 +328,13 @@
         let mut events = Vec::new();
         for (incarnation, process) in known {
             let argument = || format!("{incarnation}:{}", self.token(incarnation));
-            let process = process.or_else(|| find_unsaved_process(&argument()));
-            match process.and_then(ProcessHandle::adopt) {
+            let process = match process {
+                Some(process) => Some(process),
+                None => find_unsaved_process(&argument())?,
+            };
+            // A process whose state is not known may serve: a second one must not be started for it.
+            let adopted = process.map(ProcessHandle::adopt).transpose()?;
+            match adopted.flatten() {
                 Some(handle) => {
                     events.push(Event::Spawned(incarnation, handle.identity));
                     self.processes.insert(incarnation, handle);
@@ -720,7 +725,7 @@
                 pid: hello.pid,
                 start_ticks,
             });
-            if let Some(process) = process.ok().and_then(ProcessHandle::adopt) {
+            if let Ok(Some(process)) = process.and_then(ProcessHandle::adopt) {
                 process.signal(Signal::KILL);
             }
             return false;
@@ -881,13 +886,16 @@
 
 /// Searches a process that the previous daemon started and did not save. Retries, because a process that was just forked
 /// does not have its arguments yet.
-fn find_unsaved_process(argument: &str) -> Option<crate::plan::ProcessIdentity> {
-    (0..5).find_map(|attempt| {
+fn find_unsaved_process(argument: &str) -> io::Result<Option<crate::plan::ProcessIdentity>> {
+    for attempt in 0..5 {
         if attempt > 0 {
             std::thread::sleep(Duration::from_millis(10));
         }
-        find_by_argument(argument).first().copied()
-    })
+        if let Some(process) = find_by_argument(argument)?.first() {
+            return Ok(Some(*process));
+        }
+    }
+    Ok(None)
 }
 
 /// Resumes a stored state, provided that it is compatible with the configuration.
--- a/crates/fleet/src/process.rs
+++ b/crates/fleet/src/process.rs
@@ -4,6 +4,7 @@
 use crate::instance_config::{Release, Slot};
 use crate::plan::{ProcessExit, ProcessIdentity};
 use rustix::fd::{AsFd, BorrowedFd, OwnedFd};
+use rustix::io::Errno;
 use rustix::process::{pidfd_open, pidfd_send_signal, Pid, PidfdFlags, Signal};
 use std::fs::{File, OpenOptions};
 use std::io;
@@ -97,14 +98,20 @@
     }
 
     /// Adopts a process that another daemon started. Returns `None` if it has ended or its id was reused.
-    #[must_use]
-    pub fn adopt(identity: ProcessIdentity) -> Option<Self> {
-        let (found, pidfd) = Self::open_pidfd(identity.pid).ok()?;
-        (found == identity).then_some(Self {
+    ///
+    /// # Errors
+    /// Errors of the operating system, such as a shortage of descriptors: the process may be running.
+    pub fn adopt(identity: ProcessIdentity) -> io::Result<Option<Self>> {
+        let (found, pidfd) = match Self::open_pidfd(identity.pid) {
+            Ok(opened) => opened,
+            Err(error) if is_process_missing(&error) => return Ok(None),
+            Err(error) => return Err(error),
+        };
+        Ok((found == identity).then_some(Self {
             identity,
             pidfd,
             child: None,
-        })
+        }))
     }
 
     /// Opens the process that has this id now.
@@ -147,6 +154,12 @@
     }
 }
 
+/// Returns whether an error says that there is no process with an id.
+fn is_process_missing(error: &io::Error) -> bool {
+    error.kind() == io::ErrorKind::NotFound
+        || error.raw_os_error() == Some(Errno::SRCH.raw_os_error())
+}
+
 /// Returns when the system started a process, in clock ticks since boot.
 ///
 /// # Errors
@@ -162,28 +175,39 @@
 }
 
 /// Returns the processes that have `argument` among their command line arguments.
-#[must_use]
-pub fn find_by_argument(argument: &str) -> Vec<ProcessIdentity> {
-    let Ok(folder) = std::fs::read_dir("/proc") else {
-        return Vec::new();
-    };
-    let pids = folder
-        .flatten()
-        .filter_map(|entry| entry.file_name().to_str()?.parse::<u32>().ok());
-    let has_argument = |pid: &u32| {
-        let command_line = std::fs::read(format!("/proc/{pid}/cmdline")).unwrap_or_default();
-        command_line
-            .split(|byte| *byte == 0)
-            .any(|word| word == argument.as_bytes())
-    };
-    pids.filter(has_argument)
-        .filter_map(|pid| {
-            Some(ProcessIdentity {
-                pid,
-                start_ticks: read_start_ticks(pid).ok()?,
-            })
-        })
-        .collect()
+///
+/// # Errors
+/// Errors of the operating system, such as a shortage of descriptors: there may be such a process.
+pub fn find_by_argument(argument: &str) -> io::Result<Vec<ProcessIdentity>> {
+    let mut processes = Vec::new();
+    for entry in std::fs::read_dir("/proc")? {
+        let name = entry?.file_name();
+        let Some(pid) = name.to_str().and_then(|name| name.parse::<u32>().ok()) else {
+            continue;
+        };
+        match find_argument(pid, argument) {
+            Ok(found) => processes.extend(found),
+            // It has ended in the meantime.
+            Err(error) if is_process_missing(&error) => {}
+            // It belongs to another user, so it is no instance.
+            Err(error) if error.kind() == io::ErrorKind::PermissionDenied => {}
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(processes)
+}
+
+/// Returns the identity of a process if it has `argument` among its command line arguments.
+fn find_argument(pid: u32, argument: &str) -> io::Result<Option<ProcessIdentity>> {
+    let command_line = std::fs::read(format!("/proc/{pid}/cmdline"))?;
+    let has_argument = command_line
+        .split(|byte| *byte == 0)
+        .any(|word| word == argument.as_bytes());
+    if !has_argument {
+        return Ok(None);
+    }
+    let start_ticks = read_start_ticks(pid)?;
+    Ok(Some(ProcessIdentity { pid, start_ticks }))
 }
 
 /// Returns a random secret.
@@ -205,8 +229,9 @@
     fn does_not_adopt_a_process_that_ended_or_whose_id_was_reused() {
         let pid = std::process::id();
         let start_ticks = read_start_ticks(pid).expect("this process");
-        assert!(ProcessHandle::adopt(ProcessIdentity { pid, start_ticks }).is_some());
-        assert!(ProcessHandle::adopt(ProcessIdentity {
+        let adopt = |identity| ProcessHandle::adopt(identity).expect("descriptors are left");
+        assert!(adopt(ProcessIdentity { pid, start_ticks }).is_some());
+        assert!(adopt(ProcessIdentity {
             pid,
             start_ticks: start_ticks - 1
         })
@@ -217,6 +242,6 @@
             start_ticks: read_start_ticks(child.id()).expect("it is there until it is waited for"),
         };
         child.wait().expect("it ends");
-        assert!(ProcessHandle::adopt(ended).is_none());
+        assert!(adopt(ended).is_none());
     }
 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -460,6 +460,46 @@
     panic!("no start failed for lack of descriptors");
 }
 
+/// Guards against a daemon that takes a shortage of its own descriptors for the end of its instances: it
+/// started others in their slots, and killed those that served.
+#[test]
+fn a_daemon_started_without_enough_descriptors_does_not_replace_instances_that_run() {
+    let mut fleet = TestFleet::new(2, 1, "batch: 1, minimum: 1");
+    fleet.start_daemon();
+    fleet.wait_until("all warm", |view| view.converged);
+    let before = fleet.pids();
+    let mut failed_starts = 0;
+    // Each start of the daemon opens one more file of its store.
+    for max_descriptors in (6..40).step_by(2) {
+        let mut daemon = fleet.daemon.take().expect("the daemon runs");
+        daemon.kill().expect("kills the daemon");
+        daemon.wait().expect("the daemon ends");
+        let command = format!("ulimit -n {max_descriptors}; exec \"$@\"");
+        let mut daemon = Command::new("sh")
+            .args(["-c", &command, "sh", PROGRAM, "fleet", "up"])
+            .arg(&fleet.file)
+            .stdin(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("starts the daemon");
+        // It recovers within this time, and counts no instance as hung yet.
+        let started_at = Instant::now();
+        while started_at.elapsed() < Duration::from_millis(400) {
+            if daemon.try_wait().expect("waits for the daemon").is_some() {
+                failed_starts += 1;
+                break;
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        fleet.daemon = Some(daemon);
+    }
+    assert!(failed_starts > 0, "no start failed for lack of descriptors");
+    fleet.restart_daemon();
+    let view = fleet.wait_until("all warm again", |view| view.converged);
+    assert_eq!(fleet.pids(), before, "{:#?}", view.terminated);
+    fleet.shut_down();
+}
+
 /// Sends one request on a connection of its own and waits for the response.
 fn send_request(address: SocketAddr, id: u64) -> Result<(), String> {
     let mut stream = TcpStream::connect(address).map_err(|e| format!("connect: {e}"))?;
