Drain an instance whose status reports can't arrive instead of killing it

What callers saw: an instance of a fleet that served, but whose connection to the daemon was gone and could not be made again, was killed after `timeouts_ms.silent` as "it hung", with the requests that it had read.

Silence was taken for a hang, although the reports may be missing for another reason: the instance or the daemon has no descriptor for the connection, or the daemon can't read a report and closes it.

Change: the plan knows whether the connection is open. A silent instance with one has a stopped event loop and is killed as before; one without is told to drain, counts as failed, and is killed after `timeouts_ms.drain`.

--- a/crates/fleet/src/daemon.rs
+++ b/crates/fleet/src/daemon.rs
@@ -639,7 +639,8 @@
         let is_readable = |index: &usize| *index >= links || ready[2 + index];
         for index in (0..self.links.len()).rev().filter(is_readable) {
             if !self.read_link(index)? {
-                self.links.swap_remove(index);
+                let link = self.links.swap_remove(index);
+                self.handle_disconnection(link.incarnation)?;
             }
         }
         for index in (0..operators)
@@ -673,6 +674,21 @@
         Ok(())
     }
 
+    /// Handles a closed connection of an instance, unless the instance has connected again.
+    fn handle_disconnection(&mut self, incarnation: Option<u64>) -> Result<(), Error> {
+        match incarnation {
+            Some(number)
+                if !self
+                    .links
+                    .iter()
+                    .any(|link| link.incarnation == incarnation) =>
+            {
+                self.handle_event(Event::Disconnected(number))
+            }
+            _ => Ok(()),
+        }
+    }
+
     /// Reads and handles lines of an instance; returns false if its connection is to be closed.
     fn read_link(&mut self, index: usize) -> Result<bool, Error> {
         let open = self.links[index].read();
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -43,7 +43,8 @@
     /// Time after which a draining instance is killed.
     #[serde(rename = "drain_within")]
     pub drain_timeout: Micros,
-    /// Time without a status report after which an instance counts as hung and is killed.
+    /// Time without a status report after which an instance counts as hung and is killed, or is drained if it has no
+    /// connection for reports.
     #[serde(rename = "silent_within")]
     pub report_timeout: Micros,
     /// Number of failed instances of a new generation that ends its replacement.
@@ -175,6 +176,10 @@
     pub counts: RequestCounts,
     /// The counts when the comparison of the two generations began.
     baseline: Option<RequestCounts>,
+    /// Whether the instance's connection for status reports is open. Unknown to a new daemon until it
+    /// reports.
+    #[serde(skip)]
+    is_connected: bool,
     /// When the process was last killed.
     #[serde(rename = "killed")]
     killed_at: Option<Micros>,
@@ -206,6 +211,20 @@
     fn is_serving(&self) -> bool {
         matches!(self.phase, Phase::Cold | Phase::Warm)
     }
+
+    /// Drains an instance without a connection for status reports. It may serve, and only its reports
+    /// be lost, so that it is killed only if it does not drain in time.
+    fn drain_silent(&mut self, now: Micros, effects: &mut Vec<Effect>) {
+        let reason = if self.phase == Phase::Starting {
+            "it sent no status report after its start"
+        } else {
+            "its status reports ended with their connection"
+        };
+        self.failure_reason = Some(reason.to_owned());
+        (self.phase, self.phase_since) = (Phase::Draining, now);
+        effects.push(Effect::Save);
+        effects.push(Effect::Drain(self.incarnation));
+    }
 }
 
 /// Direction of a replacement.
@@ -256,6 +275,8 @@
     SpawnFailed(u64, String),
     /// The instance sent a status report.
     StatusReported(u64, StatusReport),
+    /// The instance's connection for status reports was closed.
+    Disconnected(u64),
     /// The process has ended.
     Exited(u64, ProcessExit),
 }
@@ -619,6 +640,11 @@
             Event::StatusReported(incarnation, status) => {
                 self.on_status_report(now, incarnation, &status, effects);
             }
+            Event::Disconnected(incarnation) => {
+                if let Some(instance) = self.instance_mut(incarnation) {
+                    instance.is_connected = false;
+                }
+            }
             Event::Exited(incarnation, exit) => {
                 let expected =
                     self.instance_mut(incarnation)
@@ -655,6 +681,7 @@
             return;
         };
         (instance.last_report_at, instance.counts) = (now, status.counts);
+        instance.is_connected = true;
         if status.warmth.is_finite() {
             instance.warmth = status.warmth;
         }
@@ -719,10 +746,11 @@
         self.version += 1;
         self.add_terminated_counts(&instance);
         (instance.phase_since, instance.process) = (now, None);
-        let failure = match (failure, instance.phase, instance.killed_at) {
-            // An instance killed by the plan failed for the reason recorded then, such as a hang.
-            (Some(failure), _, Some(_)) => Some(instance.failure_reason.take().unwrap_or(failure)),
-            (failure, ..) => failure,
+        // An instance killed or drained because it was silent failed for the reason recorded then, such as a
+        // hang, however it ended.
+        let failure = match instance.failure_reason.take() {
+            Some(recorded) => Some(recorded),
+            None => failure,
         };
         instance.phase = if failure.is_some() {
             Phase::Failed
@@ -811,6 +839,7 @@
     pub fn handle_timeouts(&mut self, now: Micros, effects: &mut Vec<Effect>) {
         let settings = self.settings;
         let mut warm_up_overdue = None;
+        let mut drained = 0;
         for instance in &mut self.instances {
             let overdue = match instance.phase {
                 Phase::Starting => now >= instance.phase_since + settings.start_timeout,
@@ -837,22 +866,23 @@
             {
                 continue;
             }
+            if !instance.is_connected && instance.phase != Phase::Draining {
+                drained += 1;
+                instance.drain_silent(now, effects);
+                continue;
+            }
             if instance.killed_at.replace(now).is_none() {
                 if instance.phase == Phase::Draining {
                     effects.push(Effect::Notify(Notice::DrainOverdue(instance.incarnation)));
                 } else {
-                    let reason = if instance.phase == Phase::Starting {
-                        "it sent no status report after its start"
-                    } else {
-                        "it hung"
-                    };
-                    instance.failure_reason = Some(reason.to_owned());
+                    instance.failure_reason = Some("it hung".to_owned());
                 }
                 // The kill is saved first, so that a restarted daemon does not count on this instance's capacity.
                 effects.push(Effect::Save);
             }
             effects.push(Effect::Kill(instance.incarnation));
         }
+        self.version += drained;
         if let Some(incarnation) = warm_up_overdue {
             self.begin_rollback(
                 format!("instance {incarnation} of the new generation did not become warm in time"),
@@ -1110,6 +1140,7 @@
                     warmth: 0.0,
                     counts: RequestCounts::default(),
                     baseline: None,
+                    is_connected: false,
                     killed_at: None,
                     failure_reason: None,
                 });
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -485,6 +485,7 @@
             let (Event::Spawned(incarnation, _)
             | Event::SpawnFailed(incarnation, _)
             | Event::StatusReported(incarnation, _)
+            | Event::Disconnected(incarnation)
             | Event::Exited(incarnation, _)) = event;
             let phase_of = |plan: &Plan| {
                 plan.instances()
