Build the processes of the hot restart's tests in one fixture

Change: a fixture has the host, the listener and the folder, and makes serving processes and successors.

--- a/crates/server/src/hot_restart/tests.rs
+++ b/crates/server/src/hot_restart/tests.rs
@@ -6,6 +6,57 @@
 use calloop::EventLoop;
 use cleatpulley_hot_restart::message::PROTOCOL_VERSION;
 
+/// A server's host and its listener, which processes of the test hand over to each other.
+struct Fixture {
+    host: OsHost,
+    listener: crate::os_host::Listener,
+    address: SocketAddr,
+    folder: tempfile::TempDir,
+    _event_loop: EventLoop<'static, Box<dyn Service>>,
+}
+
+impl Fixture {
+    fn new() -> Self {
+        let event_loop = EventLoop::try_new().expect("event loop is created");
+        let host = OsHost::new(event_loop.handle());
+        let (listener, address) = host
+            .listen(SocketAddr::from(([127, 0, 0, 1], 0)), 0)
+            .expect("listener is created");
+        Self {
+            host,
+            listener,
+            address,
+            folder: tempfile::tempdir().expect("folder is created"),
+            _event_loop: event_loop,
+        }
+    }
+
+    fn handover_address(&self) -> HandoverAddress {
+        HandoverAddress {
+            folder: self.folder.path().to_owned(),
+            name: "n1".to_owned(),
+            address: self.address,
+        }
+    }
+
+    /// Returns a process that serves and listens for successors.
+    fn serving_process(&self) -> HotRestart<OsHost> {
+        let unbound_address = HandoverAddress {
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            ..self.handover_address()
+        };
+        let mut process = HotRestart::new(self.host.clone(), unbound_address, &[]);
+        assert!(process.is_serving());
+        process.listen_for_successors(self.address);
+        process
+    }
+
+    /// Returns a process that has connected to the one that listens for successors.
+    fn successor(&self) -> HotRestart<OsHost> {
+        HotRestart::new(self.host.clone(), self.handover_address(), &[self.address])
+    }
+}
+
 fn poll(
     hot_restart: &mut HotRestart<OsHost>,
     now: Micros,
@@ -31,27 +82,11 @@
 /// next successor gets the listener.
 #[test]
 fn malformed_peers_do_not_affect_the_next_successor() {
-    let event_loop: EventLoop<'static, Box<dyn Service>> =
-        EventLoop::try_new().expect("event loop is created");
-    let host = OsHost::new(event_loop.handle());
-    let folder = std::env::temp_dir().join(format!("cleatpulley-visit-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).expect("folder is usable");
-    let (listener, address) = host
-        .listen(SocketAddr::from(([127, 0, 0, 1], 0)), 0)
-        .expect("listener is created");
-    let handover_address = HandoverAddress {
-        folder: folder.clone(),
-        name: "n1".to_owned(),
-        address,
-    };
-    let unbound_address = HandoverAddress {
-        address: SocketAddr::from(([127, 0, 0, 1], 0)),
-        ..handover_address.clone()
-    };
-    let mut predecessor_process = HotRestart::new(host.clone(), unbound_address, &[]);
-    assert!(predecessor_process.is_serving());
-    predecessor_process.listen_for_successors(address);
-    let listeners = [(address, Some(&listener))];
+    let fixture = Fixture::new();
+    let (host, address) = (fixture.host.clone(), fixture.address);
+    let handover_address = fixture.handover_address();
+    let mut predecessor_process = fixture.serving_process();
+    let listeners = [(address, Some(&fixture.listener))];
     let hello_message = |name: &str| Message::Hello {
         version: PROTOCOL_VERSION,
         name: name.into(),
@@ -94,7 +129,7 @@
     poll(&mut predecessor_process, now, &listeners);
     assert!(predecessor_process.successor.protocol.can_accept_peer());
     drop(silent_peer);
-    let mut successor_process = HotRestart::new(host.clone(), handover_address, &[address]);
+    let mut successor_process = fixture.successor();
     assert!(!successor_process.is_serving());
     poll(&mut predecessor_process, now, &listeners);
     let steps = poll(&mut successor_process, now, &[]);
@@ -134,7 +169,6 @@
             && predecessor_process.is_serving(),
         "accepts clients again"
     );
-    std::fs::remove_dir_all(&folder).expect("folder is removed");
 }
 
 /// Guards against two processes that use the same share of cores and descriptors: the first of
@@ -142,27 +176,11 @@
 /// there until it is freed.
 #[test]
 fn usage_of_a_process_whose_successor_died_counts_for_the_next_successor() {
-    let event_loop: EventLoop<'static, Box<dyn Service>> =
-        EventLoop::try_new().expect("event loop is created");
-    let host = OsHost::new(event_loop.handle());
-    let folder = std::env::temp_dir().join(format!("cleatpulley-chain-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).expect("folder is usable");
-    let (listener, address) = host
-        .listen(SocketAddr::from(([127, 0, 0, 1], 0)), 0)
-        .expect("listener is created");
-    let handover_address = HandoverAddress {
-        folder: folder.clone(),
-        name: "n1".to_owned(),
-        address,
-    };
-    let unbound_address = HandoverAddress {
-        address: SocketAddr::from(([127, 0, 0, 1], 0)),
-        ..handover_address.clone()
-    };
-    let mut first = HotRestart::new(host.clone(), unbound_address.clone(), &[]);
-    first.listen_for_successors(address);
-    let listeners = [(address, Some(&listener))];
-    let mut second = HotRestart::new(host.clone(), handover_address, &[address]);
+    let fixture = Fixture::new();
+    let (host, address) = (fixture.host.clone(), fixture.address);
+    let mut first = fixture.serving_process();
+    let listeners = [(address, Some(&fixture.listener))];
+    let mut second = fixture.successor();
     let mut now = host.now();
     poll(&mut first, now, &listeners);
     poll(&mut second, now, &[]);
@@ -172,8 +190,7 @@
     first.on_connections_yielded(ProcessUsage::default(), String::new(), Vec::new());
     poll(&mut second, now, &[]);
     assert!(second.is_serving());
-    let mut third = HotRestart::new(host.clone(), unbound_address, &[]);
-    third.listen_for_successors(address);
+    let mut third = fixture.serving_process();
     drop(second);
     let remaining_usage = ProcessUsage {
         running_requests: 3,
@@ -226,33 +243,17 @@
         Some(ProcessUsage::default())
     );
     assert!(!third.has_predecessor());
-    std::fs::remove_dir_all(&folder).expect("folder is removed");
 }
 
 /// Guards against a closed connection that counts as the end of the predecessor: that had only waited
 /// for too long for a successor without a runtime, which then accepted clients beside it.
 #[test]
 fn successor_without_a_runtime_does_not_accept_beside_a_predecessor_that_stopped_waiting() {
-    let event_loop: EventLoop<'static, Box<dyn Service>> =
-        EventLoop::try_new().expect("event loop is created");
-    let host = OsHost::new(event_loop.handle());
-    let folder = tempfile::tempdir().expect("folder is created");
-    let (listener, address) = host
-        .listen(SocketAddr::from(([127, 0, 0, 1], 0)), 0)
-        .expect("listener is created");
-    let handover_address = HandoverAddress {
-        folder: folder.path().to_owned(),
-        name: "n1".to_owned(),
-        address,
-    };
-    let unbound_address = HandoverAddress {
-        address: SocketAddr::from(([127, 0, 0, 1], 0)),
-        ..handover_address.clone()
-    };
-    let mut predecessor = HotRestart::new(host.clone(), unbound_address, &[]);
-    predecessor.listen_for_successors(address);
-    let listeners = [(address, Some(&listener))];
-    let mut successor = HotRestart::new(host.clone(), handover_address, &[address]);
+    let fixture = Fixture::new();
+    let (host, address) = (fixture.host.clone(), fixture.address);
+    let mut predecessor = fixture.serving_process();
+    let listeners = [(address, Some(&fixture.listener))];
+    let mut successor = fixture.successor();
     let mut now = host.now();
     for _ in 0..3 {
         poll(&mut predecessor, now, &listeners);
@@ -277,26 +278,11 @@
 /// Guards against a successor that goes on searching for a predecessor that has ended.
 #[test]
 fn successor_without_a_runtime_accepts_at_once_when_its_predecessor_has_ended() {
-    let event_loop: EventLoop<'static, Box<dyn Service>> =
-        EventLoop::try_new().expect("event loop is created");
-    let host = OsHost::new(event_loop.handle());
-    let folder = tempfile::tempdir().expect("folder is created");
-    let (listener, address) = host
-        .listen(SocketAddr::from(([127, 0, 0, 1], 0)), 0)
-        .expect("listener is created");
-    let handover_address = HandoverAddress {
-        folder: folder.path().to_owned(),
-        name: "n1".to_owned(),
-        address,
-    };
-    let unbound_address = HandoverAddress {
-        address: SocketAddr::from(([127, 0, 0, 1], 0)),
-        ..handover_address.clone()
-    };
-    let mut predecessor = HotRestart::new(host.clone(), unbound_address, &[]);
-    predecessor.listen_for_successors(address);
-    let listeners = [(address, Some(&listener))];
-    let mut successor = HotRestart::new(host.clone(), handover_address, &[address]);
+    let fixture = Fixture::new();
+    let (host, address) = (fixture.host.clone(), fixture.address);
+    let mut predecessor = fixture.serving_process();
+    let listeners = [(address, Some(&fixture.listener))];
+    let mut successor = fixture.successor();
     let now = host.now();
     poll(&mut predecessor, now, &listeners);
     poll_with(&mut successor, now, false, &[]);
