Split the upgrade command and the fleet's status connections into modules of their own

Change: start, readiness, management client, processes and rollback are modules of the command; the connections of instances are one of the daemon. The command waits for a new process that it has ended, so that none is left as a zombie.

--- a/crates/fleet/src/daemon.rs
+++ b/crates/fleet/src/daemon.rs
@@ -2,6 +2,8 @@
 //! them signals and executes operators' commands. The plan's state is durable before the next effect is executed, so
 //! that after a crash at any moment the next daemon resumes where the previous one stopped.
 
+mod instance_link;
+
 use crate::control_protocol::{
     ControlCommand, ControlResponse, FleetView, InstanceView, ReplacementView,
     TerminatedInstanceView,
@@ -13,15 +15,14 @@
 use crate::Micros;
 use cleatpulley_log_store::files::OsFolder;
 use cleatpulley_log_store::{Batch, MaintenanceStatus, Options, Store};
+use instance_link::{take_line, Hello, InstanceLink, StatusLine, MAX_LINE_BYTES};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
-use rustix::net::{recvmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags};
 use rustix::process::Signal;
 use serde::{Deserialize, Serialize};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::{BTreeMap, VecDeque};
 use std::fs;
-use std::io::{self, ErrorKind, IoSliceMut, Read, Write};
-use std::mem::MaybeUninit;
+use std::io::{self, ErrorKind, Read, Write};
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
 use std::os::unix::fs::PermissionsExt;
@@ -36,8 +37,6 @@
 const STATUS_SOCKET: &str = "status.sock";
 /// Key of the daemon's state in the store.
 const STATE_KEY: &[u8] = b"fleet";
-/// Maximum length of a line on either socket, in bytes.
-const MAX_LINE_BYTES: usize = 65_536;
 /// Minimum period over which rates are computed, in microseconds.
 const RATE_PERIOD: Micros = 1_000_000;
 /// Maximum number of connections that wait to be accepted.
@@ -115,54 +114,6 @@
     rejected_share: f64,
 }
 
-/// Connection of an instance to the status socket.
-struct InstanceLink {
-    stream: UnixStream,
-    input: Vec<u8>,
-    /// The instance's number, once it has proved it.
-    incarnation: Option<u64>,
-    /// A descriptor received with the data.
-    received_fd: Option<OwnedFd>,
-}
-
-impl InstanceLink {
-    fn new(stream: UnixStream) -> Self {
-        Self {
-            stream,
-            input: Vec::new(),
-            incarnation: None,
-            received_fd: None,
-        }
-    }
-
-    /// Reads the available data; returns false once the connection is closed or failed.
-    fn read(&mut self) -> bool {
-        let mut buffer = [0; 4_096];
-        while self.input.len() <= MAX_LINE_BYTES {
-            let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
-            let mut ancillary = RecvAncillaryBuffer::new(&mut space);
-            let received = recvmsg(
-                &self.stream,
-                &mut [IoSliceMut::new(&mut buffer)],
-                &mut ancillary,
-                RecvFlags::CMSG_CLOEXEC,
-            );
-            for message in ancillary.drain() {
-                if let RecvAncillaryMessage::ScmRights(descriptors) = message {
-                    self.received_fd = descriptors.last().or(self.received_fd.take());
-                }
-            }
-            match received.map(|received| received.bytes) {
-                Ok(0) => return false,
-                Ok(length) => self.input.extend_from_slice(&buffer[..length]),
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) => return e.kind() == ErrorKind::WouldBlock,
-            }
-        }
-        true
-    }
-}
-
 /// Connection of an operator to the control socket.
 struct OperatorConnection {
     stream: UnixStream,
@@ -170,29 +121,6 @@
     output: Vec<u8>,
 }
 
-/// First line on an instance's connection.
-#[derive(Deserialize)]
-struct Hello {
-    incarnation: u64,
-    token: String,
-    pid: u32,
-}
-
-/// Each further line on an instance's connection.
-#[derive(Deserialize)]
-struct StatusLine {
-    warmth: f64,
-    served: u64,
-    late: u64,
-    #[serde(rename = "refused")]
-    rejected: u64,
-    failed: u64,
-    #[serde(rename = "held")]
-    open_requests: usize,
-    #[serde(rename = "drains")]
-    draining: bool,
-}
-
 /// The daemon of a fleet.
 pub struct Daemon {
     folder: PathBuf,
@@ -1000,13 +928,6 @@
     true
 }
 
-fn take_line(input: &mut Vec<u8>) -> Option<Vec<u8>> {
-    let end = input.iter().position(|byte| *byte == b'\n')?;
-    let mut line: Vec<u8> = input.drain(..=end).collect();
-    line.pop();
-    Some(line)
-}
-
 fn flush(operator: &mut OperatorConnection) -> io::Result<()> {
     while !operator.output.is_empty() {
         match operator.stream.write(&operator.output) {
--- a/src/commands/upgrade.rs
+++ b/src/commands/upgrade.rs
@@ -1,7 +1,9 @@
 //! `cleatpulley upgrade`: replaces a running server by a new process and shows each step.
 
+mod launch;
 mod management_client;
 mod process;
+mod ready;
 mod rollback;
 
 use crate::ConfigArgs;
@@ -9,24 +11,16 @@
 use cleatpulley::config::Config;
 use cleatpulley::operator::OperatorSettings;
 use cleatpulley::server::host::HandoverAddress;
-use cleatpulley::server::serving_process::find_serving_process;
-use cleatpulley_hot_restart::readiness::{next_step, NextStep, ReadinessCheck, ServingProcess};
-use management_client::{ManagementClient, ManagementError};
+use launch::Launch;
+use management_client::ManagementClient;
 use process::{ProcessDescriptor, SignalOutcome};
-use rollback::{roll_back, RESPONSE_TIMEOUT};
+use ready::wait_until_ready;
+use rollback::roll_back;
 use rustix::process::Signal;
-use std::ffi::OsString;
-use std::fmt;
-use std::fs::File;
-use std::io;
-use std::net::SocketAddr;
-use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
-use std::process::{Child, Command, ExitCode, ExitStatus, Stdio};
+use std::process::{Child, ExitCode};
 use std::time::{Duration, Instant};
 
-const READY_POLL_INTERVAL: Duration = Duration::from_millis(5);
-
 /// Arguments of `cleatpulley upgrade`.
 #[derive(Args)]
 pub struct Upgrade {
@@ -63,7 +57,7 @@
     let arguments = upgrade.config_args.to_arguments();
     let (config, operator, _) = upgrade.config_args.load()?;
     let management = create_management_client(&config, &operator)?;
-    let mut launch = Launch {
+    let launch = Launch {
         program: upgrade.program,
         arguments,
         upgrade_folder: upgrade.upgrade_folder,
@@ -79,7 +73,7 @@
         launch.log_file.display()
     );
     let handover_address = HandoverAddress {
-        folder: std::mem::take(&mut launch.upgrade_folder),
+        folder: launch.upgrade_folder,
         name: config.name,
         address: config.listen,
     };
@@ -98,6 +92,8 @@
             let stop_time = Duration::from_micros(config.shutdown_time);
             let report = roll_back(&old_process, &descriptor, stop_time, &handover_address)
                 .map_err(|e| format!("{reason}; process {}: {e}", new_process.id()))?;
+            // It has exited, and is removed from the system's table of processes.
+            let _ = new_process.try_wait();
             return Err(format!("{reason}; {report}"));
         }
     }
@@ -132,148 +128,6 @@
     Ok(management)
 }
 
-/// How the new process is started.
-struct Launch {
-    /// The program; `None` for this one.
-    program: Option<PathBuf>,
-    /// Arguments that select the configuration.
-    arguments: Vec<OsString>,
-    upgrade_folder: PathBuf,
-    log_file: PathBuf,
-}
-
-impl Launch {
-    fn start(&self) -> Result<Child, String> {
-        let program = match &self.program {
-            Some(program) => program.clone(),
-            None => std::env::current_exe().map_err(|e| e.to_string())?,
-        };
-        let log = File::options()
-            .create(true)
-            .append(true)
-            .open(&self.log_file)
-            .map_err(|e| format!("--log-file: {}: {e}", self.log_file.display()))?;
-        let mut command = Command::new(&program);
-        command
-            .arg("serve")
-            .args(&self.arguments)
-            .arg("--upgrade-folder")
-            .arg(&self.upgrade_folder)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log);
-        // The new process has to outlive this command and its terminal.
-        command.process_group(0);
-        command
-            .spawn()
-            .map_err(|e| format!("--program: {}: {e}", program.display()))
-    }
-}
-
-/// Why the upgrade does not go on with the new process.
-#[derive(Debug, thiserror::Error)]
-enum NotReadyError {
-    #[error("the new process has exited with {0}: see its log")]
-    Exited(ExitStatus),
-    #[error("the new process is not ready after {timeout:?}: see its log; the last GET /_ready at {address}: {last_check}")]
-    TimedOut {
-        timeout: Duration,
-        address: SocketAddr,
-        last_check: CheckOutcome,
-    },
-    #[error("the new process can't be waited for: {0}")]
-    Wait(#[from] io::Error),
-}
-
-/// The outcome of a request of `/_ready`.
-#[derive(Debug)]
-enum CheckOutcome {
-    Status(u16),
-    NoResponse(ManagementError),
-}
-
-impl CheckOutcome {
-    fn as_readiness_check(&self) -> ReadinessCheck {
-        match self {
-            Self::Status(200) => ReadinessCheck::Ready,
-            Self::Status(_) => ReadinessCheck::NotReady,
-            Self::NoResponse(_) => ReadinessCheck::Unknown,
-        }
-    }
-}
-
-impl fmt::Display for CheckOutcome {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Status(status) => write!(f, "status {status}"),
-            Self::NoResponse(error) => error.fmt(f),
-        }
-    }
-}
-
-/// How it is known that the new process takes clients.
-enum Readiness {
-    Reported,
-    /// It answers on the handover socket, but its management endpoint does not respond.
-    Unreported(SocketAddr, ManagementError),
-}
-
-impl fmt::Display for Readiness {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Reported => Ok(()),
-            Self::Unreported(address, error) => {
-                write!(f, ", though GET /_ready at {address} fails: {error}")
-            }
-        }
-    }
-}
-
-/// Waits until the new process takes clients.
-fn wait_until_ready(
-    new_process: &mut Child,
-    management: &ManagementClient,
-    handover_address: &HandoverAddress,
-    timeout: Duration,
-) -> Result<Readiness, NotReadyError> {
-    let new_pid = new_process.id();
-    let serving_process = || match find_serving_process(handover_address, RESPONSE_TIMEOUT) {
-        Ok(pid) if pid == new_pid => ServingProcess::New,
-        Ok(_) => ServingProcess::Other,
-        Err(_) => ServingProcess::Unknown,
-    };
-    let started_at = Instant::now();
-    loop {
-        if let Some(status) = new_process.try_wait()? {
-            return Err(NotReadyError::Exited(status));
-        }
-        let last_check = match management.request_ready_status() {
-            Ok(status) => CheckOutcome::Status(status),
-            Err(error) => CheckOutcome::NoResponse(error),
-        };
-        let has_timed_out = started_at.elapsed() > timeout;
-        let step = next_step(
-            last_check.as_readiness_check(),
-            has_timed_out,
-            serving_process,
-        );
-        match (step, last_check) {
-            (NextStep::CheckAgain, _) => std::thread::sleep(READY_POLL_INTERVAL),
-            (NextStep::TerminateOld, CheckOutcome::Status(_)) => return Ok(Readiness::Reported),
-            (NextStep::TerminateOld, CheckOutcome::NoResponse(error)) => {
-                return Ok(Readiness::Unreported(management.address(), error));
-            }
-            (NextStep::RollBack, last_check) => {
-                return Err(NotReadyError::TimedOut {
-                    timeout,
-                    address: management.address(),
-                    last_check,
-                });
-            }
-        }
-    }
-}
-
 /// Tells the old process to leave, and returns the time until its exit.
 fn terminate_old_process(
     old_process: &ProcessDescriptor,
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -334,3 +334,32 @@
         "{text}"
     );
 }
+
+/// Guards against a rollback that waits without end: a new process that does not react to SIGTERM hangs,
+/// and is killed once its own stop time has passed.
+#[test]
+fn rollback_of_an_upgrade_kills_a_new_process_that_does_not_stop() {
+    let folder = tempfile::tempdir().expect("create a folder");
+    let mut upgrade = Upgrade::start(folder, "", 2.0, 36);
+    upgrade.trial.site.config["stop_ms"] = 300.into();
+    let program = upgrade.path("hangs.sh");
+    std::fs::write(
+        &program,
+        "#!/bin/sh\ntrap '' TERM\nwhile :; do sleep 0.05; done\n",
+    )
+    .expect("write the file");
+    let permissions = std::fs::Permissions::from_mode(0o755);
+    std::fs::set_permissions(&program, permissions).expect("make the file executable");
+    let mut command = upgrade.command();
+    command.args(["--ready-within", "0.2"]).arg("--program");
+    let (outcome, report) = upgrade.run(command.arg(program));
+    let text = outcome.text();
+    assert_eq!(outcome.output.status.code(), Some(1), "{text}");
+    let serving = format!("process {} serves", upgrade.trial.matcher.pid());
+    assert!(
+        text.contains("it did not exit after SIGTERM and was killed") && text.contains(&serving),
+        "{text}"
+    );
+    assert!(!outcome.new_process.is_running(), "{text}");
+    assert_eq!(report.violations, Vec::<String>::new(), "{text}\n{report}");
+}
