Soak of upgrades and rollbacks in a row, from seeds

Change: a test draws what each upgrade meets from a seed: a new process that serves, one whose endpoint is elsewhere, says 503 (without TLS), has no runtime, or ignores SIGTERM; with TLS on mgmt on even seeds. Each is checked for its exit status, for which process it says serves, and at the end for lost requests.

--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -6,13 +6,15 @@
 use cleatpulley_emulators::site::Setup;
 use cleatpulley_emulators::trial::{Load, Report, RunningTrial, Trial};
 use cleatpulley_tls::authority;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use rustix::process::{kill_process, test_kill_process, Pid, Signal};
 use std::io::{Read, Write};
 use std::net::TcpListener;
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// What the trial reports if the process that it started has exited and no rule was broken.
 const OLD_PROCESS_EXITED: &str = "1 matcher exited by itself";
@@ -55,6 +57,21 @@
 }
 
 impl Outcome {
+    /// Runs an upgrade to its end.
+    fn of(command: &mut Command) -> Self {
+        let output = command.output().expect("run the command");
+        let stdout = String::from_utf8_lossy(&output.stdout).into_owned();
+        let new_pid = stdout
+            .lines()
+            .find_map(|line| line.strip_prefix("1. process "))
+            .and_then(|line| line.split(' ').next()?.parse().ok())
+            .and_then(Pid::from_raw);
+        Self {
+            output,
+            new_process: NewProcess(new_pid),
+        }
+    }
+
     fn text(&self) -> String {
         let Output { stdout, stderr, .. } = &self.output;
         format!(
@@ -68,9 +85,20 @@
 impl Upgrade {
     /// Starts a matcher and callers that send frames for this time.
     fn start(folder: tempfile::TempDir, operator_sections: &str, seconds: f64, seed: u64) -> Self {
+        Self::start_for(folder, operator_sections, seconds, seed, 1)
+    }
+
+    /// Starts a matcher that is to be replaced up to this number of times.
+    fn start_for(
+        folder: tempfile::TempDir,
+        operator_sections: &str,
+        seconds: f64,
+        seed: u64,
+        upgrade_count: usize,
+    ) -> Self {
         let site = Setup {
             seed,
-            runtime_address_count: 2,
+            runtime_address_count: upgrade_count + 1,
             ..Setup::default()
         };
         let load = Load {
@@ -104,10 +132,16 @@
     /// Returns the command that upgrades the matcher; the new process uses a runtime address of its
     /// own.
     fn command(&self) -> Command {
+        let runtime = self.trial.site.runtime_addresses[1].to_string();
+        self.command_for(self.trial.matcher.pid(), &runtime)
+    }
+
+    /// Returns the command that replaces a process by one that uses this runtime address.
+    fn command_for(&self, old_pid: u32, runtime: &str) -> Command {
         let mut config = self.trial.site.config.clone();
         config["listen"] = self.trial.matcher.frames.to_string().into();
         config["mgmt"] = self.new_management.clone().into();
-        config["runtime"] = self.trial.site.runtime_addresses[1].to_string().into();
+        config["runtime"] = runtime.into();
         std::fs::write(self.path("new.json"), config.to_string()).expect("write the file");
         let operator = self.trial.site.operator_file("", &self.operator_sections);
         std::fs::write(self.path("operator.jsonnet"), operator).expect("write the file");
@@ -117,7 +151,7 @@
         }
         command
             .arg("upgrade")
-            .args(["--pid", &self.trial.matcher.pid().to_string()])
+            .args(["--pid", &old_pid.to_string()])
             .arg("--config")
             .arg(self.path("new.json"))
             .arg("--operator")
@@ -131,13 +165,12 @@
 
     /// Runs the command to its end, and the load to its end.
     fn run(&mut self, command: &mut Command) -> (Outcome, Report) {
-        let output = command.output().expect("run the command");
-        let stdout = String::from_utf8_lossy(&output.stdout).into_owned();
-        let new_pid = stdout
-            .lines()
-            .find_map(|line| line.strip_prefix("1. process "))
-            .and_then(|line| line.split(' ').next()?.parse().ok())
-            .and_then(Pid::from_raw);
+        let outcome = Outcome::of(command);
+        (outcome, self.finish())
+    }
+
+    /// Waits for the end of the load, and checks the rules.
+    fn finish(&mut self) -> Report {
         while !self
             .trial
             .callers
@@ -146,11 +179,7 @@
         {
             std::thread::sleep(Duration::from_millis(5));
         }
-        let outcome = Outcome {
-            output,
-            new_process: NewProcess(new_pid),
-        };
-        (outcome, self.trial.check_rules())
+        self.trial.check_rules()
     }
 }
 
@@ -258,16 +287,21 @@
     let folder = upgrade.folder.path().display();
     let program = program();
     let text = format!(
-        "#!/bin/sh\n: > {folder}/started\nwhile [ ! -e {folder}/go ]; do sleep 0.01; done\n\
+        ": > {folder}/started\nwhile [ ! -e {folder}/go ]; do sleep 0.01; done\n\
          exec {} \"$@\" {arguments}\n",
         program.display()
     );
-    std::fs::write(&path, text).expect("write the file");
-    let permissions = std::fs::Permissions::from_mode(0o755);
-    std::fs::set_permissions(&path, permissions).expect("make the file executable");
+    write_program(&path, &text);
     path
 }
 
+/// Writes a shell script that can be executed.
+fn write_program(path: &Path, text: &str) {
+    std::fs::write(path, format!("#!/bin/sh\n{text}")).expect("write the file");
+    let permissions = std::fs::Permissions::from_mode(0o755);
+    std::fs::set_permissions(path, permissions).expect("make the file executable");
+}
+
 fn wait_for_file(path: &Path) {
     while !path.exists() {
         std::thread::sleep(Duration::from_millis(2));
@@ -343,13 +377,7 @@
     let mut upgrade = Upgrade::start(folder, "", 2.0, 36);
     upgrade.trial.site.config["stop_ms"] = 300.into();
     let program = upgrade.path("hangs.sh");
-    std::fs::write(
-        &program,
-        "#!/bin/sh\ntrap '' TERM\nwhile :; do sleep 0.05; done\n",
-    )
-    .expect("write the file");
-    let permissions = std::fs::Permissions::from_mode(0o755);
-    std::fs::set_permissions(&program, permissions).expect("make the file executable");
+    write_program(&program, "trap '' TERM\nwhile :; do sleep 0.05; done\n");
     let mut command = upgrade.command();
     command.args(["--ready-within", "0.2"]).arg("--program");
     let (outcome, report) = upgrade.run(command.arg(program));
@@ -363,3 +391,148 @@
     assert!(!outcome.new_process.is_running(), "{text}");
     assert_eq!(report.violations, Vec::<String>::new(), "{text}\n{report}");
 }
+
+/// What an upgrade of the soak meets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Situation {
+    /// The new process serves and reports it.
+    Ready,
+    /// The new process serves, and its management endpoint is elsewhere.
+    Unreadable,
+    /// The new process serves and reports that it does not.
+    NotReady,
+    /// The runtime of the new process is not up.
+    WithoutRuntime,
+    /// The new process does not react to SIGTERM.
+    Hanging,
+}
+
+impl Situation {
+    fn draw(random: &mut SmallRng, has_tls: bool) -> Self {
+        match random.random_range(0..8) {
+            0..3 => Self::Ready,
+            3..5 => Self::Unreadable,
+            // The endpoint that reports it speaks plain HTTP.
+            5 if !has_tls => Self::NotReady,
+            5 | 6 => Self::WithoutRuntime,
+            _ => Self::Hanging,
+        }
+    }
+
+    fn completes(self) -> bool {
+        matches!(self, Self::Ready | Self::Unreadable)
+    }
+}
+
+const MAX_SOAK_UPGRADES: usize = 64;
+
+/// Plays upgrades under load for a time, with situations drawn from a seed, and returns them.
+fn play_soak(seed: u64, seconds: f64) -> Vec<Situation> {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let has_tls = seed.is_multiple_of(2);
+    let (folder, section) = if has_tls {
+        management_tls("")
+    } else {
+        (tempfile::tempdir().expect("create a folder"), String::new())
+    };
+    let mut upgrade = Upgrade::start_for(folder, &section, seconds, seed, MAX_SOAK_UPGRADES);
+    let wrapper = write_wrapper(&upgrade, "--mgmt 127.0.0.1:0");
+    std::fs::write(upgrade.path("go"), "").expect("write the file");
+    let hanging = upgrade.path("hangs.sh");
+    write_program(&hanging, "trap '' TERM\nwhile :; do sleep 0.05; done\n");
+    upgrade.trial.site.config["stop_ms"] = 1_200.into();
+    let mut serving = upgrade.trial.matcher.pid();
+    let mut processes = Vec::new();
+    let mut situations = Vec::new();
+    let started_at = Instant::now();
+    // The last upgrade ends before the load does.
+    while started_at.elapsed() + Duration::from_secs(5) < Duration::from_secs_f64(seconds)
+        && situations.len() < MAX_SOAK_UPGRADES
+    {
+        let situation = Situation::draw(&mut random, has_tls);
+        situations.push(situation);
+        upgrade.new_management = unused_address();
+        let runtime = match situation {
+            Situation::WithoutRuntime => unused_address(),
+            _ => upgrade.trial.site.runtime_addresses[situations.len()].to_string(),
+        };
+        let mut command = upgrade.command_for(serving, &runtime);
+        command.args(["--ready-within", "0.5"]);
+        match situation {
+            Situation::Ready | Situation::WithoutRuntime => {}
+            Situation::Unreadable => {
+                command.arg("--program").arg(&wrapper);
+            }
+            Situation::NotReady => {
+                command.arg("--program").arg(&wrapper);
+                hold_until_not_ready_is_reported(&upgrade);
+            }
+            Situation::Hanging => {
+                command.arg("--program").arg(&hanging);
+            }
+        }
+        let outcome = Outcome::of(&mut command);
+        let text = format!("seed {seed}, {situations:?}: {}", outcome.text());
+        assert_eq!(
+            outcome.output.status.success(),
+            situation.completes(),
+            "{text}"
+        );
+        assert_eq!(
+            outcome.new_process.is_running(),
+            situation.completes(),
+            "{text}"
+        );
+        if situation.completes() {
+            let new_process = outcome.new_process.0.expect("the new process has an id");
+            serving = new_process.as_raw_pid().unsigned_abs();
+        }
+        assert!(
+            text.contains(&format!("process {serving} serves")),
+            "{text}"
+        );
+        processes.push(outcome.new_process);
+    }
+    let report = upgrade.finish();
+    let expected = if situations.iter().any(|situation| situation.completes()) {
+        vec![OLD_PROCESS_EXITED.to_owned()]
+    } else {
+        Vec::new()
+    };
+    assert_eq!(
+        report.violations, expected,
+        "seed {seed}, {situations:?}: {report}"
+    );
+    situations
+}
+
+/// Has the wrapper wait until an endpoint that reports "not ready" listens where the new process's one
+/// is expected.
+fn hold_until_not_ready_is_reported(upgrade: &Upgrade) {
+    let (started, go) = (upgrade.path("started"), upgrade.path("go"));
+    for file in [&started, &go] {
+        // It exists only if a wrapper has run before.
+        let _ = std::fs::remove_file(file);
+    }
+    let management = upgrade.new_management.clone();
+    std::thread::spawn(move || {
+        wait_for_file(&started);
+        respond_not_ready(&management);
+        std::fs::write(go, "").expect("write the file");
+    });
+}
+
+/// Guards against a loss in any order of completed and rolled back upgrades: chains of processes, each
+/// the successor of one that had been rolled back to. `UPGRADE_SOAK_SEEDS` sets the number of seeds.
+#[test]
+fn upgrades_and_rollbacks_in_a_row_lose_nothing() {
+    let seeds = std::env::var("UPGRADE_SOAK_SEEDS")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(2);
+    for seed in 41..41 + seeds {
+        let situations = play_soak(seed, 18.0);
+        assert!(situations.len() > 2, "seed {seed}: {situations:?}");
+        println!("seed {seed}: {situations:?}");
+    }
+}
