--- a/src/commands/upgrade.rs
+++ b/src/commands/upgrade.rs
@@ -15,8 +15,9 @@
 use management_client::ManagementClient;
 use process::{ProcessDescriptor, SignalOutcome};
 use ready::wait_until_ready;
-use rollback::roll_back;
+use rollback::{roll_back, RollbackReport};
 use rustix::process::Signal;
+use std::io;
 use std::path::PathBuf;
 use std::process::{Child, ExitCode};
 use std::time::{Duration, Instant};
@@ -65,8 +66,8 @@
     };
     let mut new_process = launch.start()?;
     let started_at = Instant::now();
-    let descriptor = ProcessDescriptor::open(new_process.id())
-        .map_err(|e| format!("process {}: {e}", new_process.id()))?;
+    // Opened before the process is waited for: its id may be reused afterwards.
+    let new_descriptor = ProcessDescriptor::open(new_process.id());
     print_line!(
         "1. process {} started, log in {}",
         new_process.id(),
@@ -78,25 +79,25 @@
         address: config.listen,
     };
     let ready_timeout = Duration::from_secs_f64(upgrade.ready_within);
-    match wait_until_ready(
+    let readiness = wait_until_ready(
         &mut new_process,
         &management,
         &handover_address,
         ready_timeout,
-    ) {
-        Ok(readiness) => print_line!(
-            "2. it takes clients after {} ms{readiness}",
-            started_at.elapsed().as_millis()
-        ),
-        Err(reason) => {
-            let stop_time = Duration::from_micros(config.shutdown_time);
-            let report = roll_back(&old_process, &descriptor, stop_time, &handover_address)
-                .map_err(|e| format!("{reason}; process {}: {e}", new_process.id()))?;
-            // It has exited, and is removed from the system's table of processes.
-            let _ = new_process.try_wait();
-            return Err(format!("{reason}; {report}"));
-        }
-    }
+    );
+    let readiness = readiness.map_err(|reason| {
+        let stop_time = Duration::from_micros(config.shutdown_time);
+        let report = new_descriptor.and_then(|new_descriptor| {
+            roll_back(&old_process, &new_descriptor, stop_time, &handover_address)
+        });
+        // If it has exited, it is removed from the system's table of processes.
+        let _ = new_process.try_wait();
+        format!("{reason}; {}", describe_rollback(report, old_process.pid))
+    })?;
+    print_line!(
+        "2. it takes clients after {} ms{readiness}",
+        started_at.elapsed().as_millis()
+    );
     let left_timeout = Duration::from_secs_f64(upgrade.left_within);
     let exit_time = terminate_old_process(&old_process, &mut new_process, left_timeout)?;
     print_line!(
@@ -108,6 +109,16 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Returns what has become of both processes, for the operator.
+fn describe_rollback(report: io::Result<RollbackReport>, old_pid: u32) -> String {
+    match report {
+        Ok(report) => report.to_string(),
+        Err(error) => format!(
+            "the rollback failed: {error}; the new process may run: send it SIGTERM, so that process {old_pid} serves"
+        ),
+    }
+}
+
 /// Creates the client of the new process's management endpoint, at an address that is free.
 fn create_management_client(
     config: &Config,
--- a/src/commands/upgrade/management_client.rs
+++ b/src/commands/upgrade/management_client.rs
@@ -4,7 +4,7 @@
 use cleatpulley::operator::OperatorSettings;
 use cleatpulley::protocol::http;
 use cleatpulley::server::error::CertificateError;
-use cleatpulley::server::tls_layer::{CertificateSource, TlsOptions};
+use cleatpulley::server::tls_layer::CertificateSource;
 use cleatpulley_tls::rustls::{self, ClientConnection, StreamOwned};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -43,7 +43,7 @@
     /// Creates a client of the endpoint that a process with these settings serves at `address`.
     pub fn new(address: SocketAddr, operator: &OperatorSettings) -> Self {
         let tls = operator.tls.as_ref().filter(|tls| tls.mgmt);
-        let certificates = tls.map(|TlsOptions { certificates, .. }| Arc::clone(certificates));
+        let certificates = tls.map(|tls| Arc::clone(&tls.certificates));
         Self {
             address,
             certificates,
--- a/tests/idempotency.rs
+++ b/tests/idempotency.rs
@@ -331,6 +331,18 @@
         .any(|line| line.contains("nothing can be kept for now")));
 }
 
+/// Starts a successor that uses the second runtime address, and waits until it accepts clients.
+fn start_ready_successor(site: &Site, old: &Matcher) -> Matcher {
+    let mut config = site.config.clone();
+    config["runtime"] = site.runtime_addresses[1].to_string().into();
+    let mut new = old
+        .start_successor(&program(), &config)
+        .expect("start the process");
+    new.wait_ready(Duration::from_secs(6))
+        .expect("the new process is ready");
+    new
+}
+
 /// During an upgrade, a repeat at the new process gets the response of the run at the old one, new keys
 /// run at the new process, and the store has one owner at a time.
 #[test]
@@ -348,13 +360,7 @@
     while with_lock(&site.runtime, |runtime| runtime.running_count()) == 0 {
         std::thread::sleep(Duration::from_millis(1));
     }
-    let mut config = site.config.clone();
-    config["runtime"] = site.runtime_addresses[1].to_string().into();
-    let mut new = old
-        .start_successor(&program(), &config)
-        .expect("start the process");
-    new.wait_ready(Duration::from_secs(6))
-        .expect("the new process is ready");
+    let mut new = start_ready_successor(&site, &old);
     old.terminate();
     // The first request still runs at the old process.
     let mut second = FrameClient::new(&new);
@@ -412,13 +418,7 @@
     let mut client = connect(&old);
     client.send_request(1, &keys[0], "seat 7");
     let first = client.read_response();
-    let mut config = site.config.clone();
-    config["runtime"] = site.runtime_addresses[1].to_string().into();
-    let mut new = old
-        .start_successor(&program(), &config)
-        .expect("start the process");
-    new.wait_ready(Duration::from_secs(6))
-        .expect("the new process is ready");
+    let mut new = start_ready_successor(&site, &old);
     let mut client = connect(&new);
     client.send_request(2, &keys[1], "seat 8");
     let second = client.read_response();
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -58,7 +58,7 @@
 
 impl Outcome {
     /// Runs an upgrade to its end.
-    fn of(command: &mut Command) -> Self {
+    fn run(command: &mut Command) -> Self {
         let output = command.output().expect("run the command");
         let stdout = String::from_utf8_lossy(&output.stdout).into_owned();
         let new_pid = stdout
@@ -165,7 +165,7 @@
 
     /// Runs the command to its end, and the load to its end.
     fn run(&mut self, command: &mut Command) -> (Outcome, Report) {
-        let outcome = Outcome::of(command);
+        let outcome = Outcome::run(command);
         (outcome, self.finish())
     }
 
@@ -392,6 +392,26 @@
     assert_eq!(report.violations, Vec::<String>::new(), "{text}\n{report}");
 }
 
+/// Guards against a report that is not looked up: a new process that exits at once leaves the old one
+/// serving, and the command says so.
+#[test]
+fn upgrade_to_a_program_that_exits_reports_that_the_old_process_serves() {
+    let folder = tempfile::tempdir().expect("create a folder");
+    let mut upgrade = Upgrade::start(folder, "", 1.0, 37);
+    let program = upgrade.path("exits.sh");
+    write_program(&program, "exit 3\n");
+    let mut command = upgrade.command();
+    let (outcome, report) = upgrade.run(command.arg("--program").arg(program));
+    let text = outcome.text();
+    assert_eq!(outcome.output.status.code(), Some(1), "{text}");
+    let expected = format!(
+        "has exited with exit status: 3: see its log; process {} serves",
+        upgrade.trial.matcher.pid()
+    );
+    assert!(text.contains(&expected), "{text}");
+    assert_eq!(report.violations, Vec::<String>::new(), "{report}");
+}
+
 /// What an upgrade of the soak meets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Situation {
@@ -419,7 +439,7 @@
         }
     }
 
-    fn completes(self) -> bool {
+    fn can_complete(self) -> bool {
         matches!(self, Self::Ready | Self::Unreadable)
     }
 }
@@ -472,19 +492,19 @@
                 command.arg("--program").arg(&hanging);
             }
         }
-        let outcome = Outcome::of(&mut command);
+        let outcome = Outcome::run(&mut command);
         let text = format!("seed {seed}, {situations:?}: {}", outcome.text());
         assert_eq!(
             outcome.output.status.success(),
-            situation.completes(),
+            situation.can_complete(),
             "{text}"
         );
         assert_eq!(
             outcome.new_process.is_running(),
-            situation.completes(),
+            situation.can_complete(),
             "{text}"
         );
-        if situation.completes() {
+        if situation.can_complete() {
             let new_process = outcome.new_process.0.expect("the new process has an id");
             serving = new_process.as_raw_pid().unsigned_abs();
         }
@@ -495,7 +515,7 @@
         processes.push(outcome.new_process);
     }
     let report = upgrade.finish();
-    let expected = if situations.iter().any(|situation| situation.completes()) {
+    let expected = if situations.iter().any(|situation| situation.can_complete()) {
         vec![OLD_PROCESS_EXITED.to_owned()]
     } else {
         Vec::new()
