Serve new connections on a shared address while a whole fleet drains

A replacement of the only instance without surge answered late.

Cause: a draining instance closed its listener at once, since "other processes accept". In a shutdown none does, and three more copies of the socket kept it listening: the daemon's, the one of the instance's status reporter, and the instance's standard input.

Change: a draining instance accepts until shortly before its stop, unless the daemon tells it, by a line on the status connection, that another instance accepts. The daemon closes its copy where no instance is started any more; the reporter borrows the listener; standard input is replaced after the start. Instances and daemons of earlier releases ignore the line, or never send it.

The two new tests in tests/fleet.rs fail on the parent commit: "3 lost: connection reset by peer", and "the response came from the next instance".

--- a/crates/fleet/src/daemon.rs
+++ b/crates/fleet/src/daemon.rs
@@ -274,7 +274,9 @@
                 )),
             }
         }
-        if self.state.shared_address.is_some() && !self.processes.is_empty() {
+        let needs_listener =
+            self.state.shared_address.is_some() && !self.state.plan.is_draining_without_successor();
+        if needs_listener && !self.processes.is_empty() {
             self.receive_shared_listener()?;
         }
         let (now, mut effects) = (self.now(), Vec::new());
@@ -313,6 +315,8 @@
 
     /// Executes effects of the plan, and those that follow from them.
     fn execute_effects(&mut self, effects: Vec<Effect>) -> Result<(), Error> {
+        // Before the signals: an instance may end at once.
+        self.release_shared_listener();
         let mut queue = VecDeque::from(effects);
         while let Some(effect) = queue.pop_front() {
             match effect {
@@ -459,6 +463,28 @@
         Ok(())
     }
 
+    /// Closes the copies of the shared listening socket on which no connection is accepted any more: those of
+    /// draining instances while another instance accepts, and the daemon's own while none does and none is
+    /// started. The system would go on accepting connections that nobody reads.
+    fn release_shared_listener(&mut self) {
+        let plan = &self.state.plan;
+        if plan.is_draining_without_successor() {
+            self.shared_listener = None;
+        }
+        if self.state.shared_address.is_none() || !plan.has_accepting_instance() {
+            return;
+        }
+        let is_draining = |incarnation: u64| {
+            plan.instances().iter().any(|instance| {
+                instance.incarnation == incarnation && instance.phase == Phase::Draining
+            })
+        };
+        self.links
+            .iter_mut()
+            .filter(|link| link.incarnation.is_some_and(is_draining))
+            .for_each(InstanceLink::request_listener_close);
+    }
+
     /// Closes the shared listening socket if no process runs: connections would wait on it and never be accepted.
     fn close_unused_shared_listener(&mut self) {
         if self.processes.is_empty() {
@@ -676,7 +702,9 @@
         }
         self.links[index].incarnation = Some(hello.incarnation);
         let received_fd = self.links[index].received_fd.take();
-        if self.state.shared_address.is_some() && self.shared_listener.is_none() {
+        let needs_listener =
+            self.state.shared_address.is_some() && !self.state.plan.is_draining_without_successor();
+        if needs_listener && self.shared_listener.is_none() {
             self.shared_listener = received_fd;
         }
         true
--- a/crates/fleet/src/daemon/instance_link.rs
+++ b/crates/fleet/src/daemon/instance_link.rs
@@ -3,7 +3,7 @@
 
 use rustix::net::{recvmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags};
 use serde::Deserialize;
-use std::io::{ErrorKind, IoSliceMut};
+use std::io::{ErrorKind, IoSliceMut, Write};
 use std::mem::MaybeUninit;
 use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixStream;
@@ -11,6 +11,9 @@
 /// Maximum length of a line on either socket of the daemon, in bytes.
 pub(super) const MAX_LINE_BYTES: usize = 65_536;
 
+/// The request to an instance to close the shared listening socket.
+const CLOSE_LISTENER_REQUEST: &[u8] = b"{\"close_listener\":true}\n";
+
 /// Connection of an instance to the status socket.
 pub(super) struct InstanceLink {
     pub(super) stream: UnixStream,
@@ -19,6 +22,8 @@
     pub(super) incarnation: Option<u64>,
     /// A descriptor received with the data.
     pub(super) received_fd: Option<OwnedFd>,
+    /// Whether the instance was told to close the shared listening socket.
+    is_told_to_close_listener: bool,
 }
 
 impl InstanceLink {
@@ -28,6 +33,15 @@
             input: Vec::new(),
             incarnation: None,
             received_fd: None,
+            is_told_to_close_listener: false,
+        }
+    }
+
+    /// Tells the instance once to close the shared listening socket, since another instance accepts on it.
+    /// An instance that does not receive this accepts until shortly before it stops.
+    pub(super) fn request_listener_close(&mut self) {
+        if !std::mem::replace(&mut self.is_told_to_close_listener, true) {
+            let _ = (&self.stream).write_all(CLOSE_LISTENER_REQUEST);
         }
     }
 
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -212,6 +212,12 @@
         matches!(self.phase, Phase::Cold | Phase::Warm)
     }
 
+    /// Returns whether the instance accepts connections and is to go on doing so. It accepts none before
+    /// its runtime is up, and reports a warmth of 0 until then.
+    fn is_accepting(&self) -> bool {
+        self.is_serving() && self.warmth > 0.0 && self.killed_at.is_none()
+    }
+
     /// Drains an instance without a connection for status reports. It may serve, and only its reports
     /// be lost, so that it is killed only if it does not drain in time.
     fn drain_silent(&mut self, now: Micros, effects: &mut Vec<Effect>) {
@@ -413,6 +419,20 @@
         &self.instances
     }
 
+    /// Returns whether an instance accepts connections and is not draining.
+    #[must_use]
+    pub fn has_accepting_instance(&self) -> bool {
+        self.instances.iter().any(Instance::is_accepting)
+    }
+
+    /// Returns whether all instances drain and no other is started before they have ended.
+    #[must_use]
+    pub fn is_draining_without_successor(&self) -> bool {
+        let is_draining = |instance: &Instance| instance.phase == Phase::Draining;
+        let has_one_slot = self.settings.instances + self.settings.surge == 1;
+        self.shutting_down || (has_one_slot && self.instances.iter().any(is_draining))
+    }
+
     /// Returns the most recently terminated instances, the latest last.
     pub fn terminated(&self) -> impl Iterator<Item = &Instance> {
         self.terminated.iter()
--- a/crates/server/src/client_listener/draining.rs
+++ b/crates/server/src/client_listener/draining.rs
@@ -31,7 +31,7 @@
     }
 
     /// Closes the first listener: other processes share its address and accept new connections.
-    pub fn close_listeners(&mut self) {
+    pub fn close_first_listener(&mut self) {
         if let Some(address) = self.addresses.first_mut() {
             address.listener = None;
         }
--- a/crates/server/src/gossip/service.rs
+++ b/crates/server/src/gossip/service.rs
@@ -9,6 +9,7 @@
 use cleatpulley_dispatcher::Event;
 use cleatpulley_policy::interface::Micros;
 use std::io;
+use std::net::TcpListener;
 
 /// A service, combined with gossip with the other processes.
 pub struct ServiceWithGossip {
@@ -50,6 +51,14 @@
         self.gossip.publish_status_now();
     }
 
+    fn close_shared_listener(&mut self) {
+        self.service.close_shared_listener();
+    }
+
+    fn shared_listener(&self) -> Option<&TcpListener> {
+        self.service.shared_listener()
+    }
+
     fn reload(&mut self) {
         self.service.reload();
         self.gossip.reload();
--- a/crates/server/src/os_host/event_loop.rs
+++ b/crates/server/src/os_host/event_loop.rs
@@ -9,6 +9,7 @@
 use cleatpulley_dispatcher::Event;
 use cleatpulley_policy::interface::Micros;
 use std::io;
+use std::net::TcpListener;
 use std::os::fd::AsFd;
 use std::rc::Rc;
 
@@ -32,6 +33,14 @@
     /// Begins the graceful shutdown.
     fn begin_shutdown(&mut self);
 
+    /// Stops accepting on the listening socket that other instances share, since one of them accepts.
+    fn close_shared_listener(&mut self) {}
+
+    /// Returns the listening socket that other instances share, while this service accepts on it.
+    fn shared_listener(&self) -> Option<&TcpListener> {
+        None
+    }
+
     /// Reloads the configuration.
     fn reload(&mut self);
 
--- a/crates/server/src/os_host/serve.rs
+++ b/crates/server/src/os_host/serve.rs
@@ -2,6 +2,7 @@
 
 use super::event_loop::{EventLoopHandle, Service};
 use super::host::OsHost;
+use super::sockets::Listener;
 use crate::host::Readiness;
 use crate::options::{Options, Reload};
 use crate::server::Server;
@@ -41,6 +42,14 @@
         Self::begin_shutdown(self);
     }
 
+    fn close_shared_listener(&mut self) {
+        Self::close_shared_listener(self);
+    }
+
+    fn shared_listener(&self) -> Option<&TcpListener> {
+        Self::shared_listener(self).map(Listener::socket)
+    }
+
     fn reload(&mut self) {
         Self::reload(self);
     }
@@ -127,14 +136,9 @@
     };
     handle_signals(&handle, signals)?;
     let host = OsHost::new(handle.clone()).with_shared_addresses(host_options.shares_addresses);
-    let shared_listener = host_options
-        .inherited_listener
-        .as_ref()
-        .map(TcpListener::try_clone)
-        .transpose()?;
     host.set_inherited_listener(host_options.inherited_listener);
     if let Some(link) = host_options.fleet_link {
-        report_status(&handle, StatusReporter::new(link, shared_listener))?;
+        report_status(&handle, StatusReporter::new(link))?;
     }
     run(&mut event_loop, create(host)?)
 }
@@ -153,7 +157,10 @@
 fn report_status(handle: &EventLoopHandle, mut reporter: StatusReporter) -> io::Result<()> {
     handle
         .insert_source(Timer::immediate(), move |_, (), service| {
-            reporter.report(&service.status());
+            reporter.report(&service.status(), service.shared_listener());
+            if reporter.take_close_request() {
+                service.close_shared_listener();
+            }
             TimeoutAction::ToDuration(STATUS_REPORT_INTERVAL)
         })
         .map_err(|error| io::Error::other(error.to_string()))?;
--- a/crates/server/src/server/shutdown.rs
+++ b/crates/server/src/server/shutdown.rs
@@ -42,10 +42,26 @@
         );
         self.shutdown.begin(stop_at);
         self.events.push(Event::DrainStarted { stop_at });
+        // The listeners stay open: while a whole fleet shuts down no other process accepts on a shared one.
         self.adapters.client_listener.begin_shutdown(now);
-        if self.shutdown.shares_listener {
-            self.adapters.client_listener.close_listeners();
+    }
+
+    /// Closes the listener that other instances share, since one of them accepts on it. Only a process that
+    /// shuts down closes it.
+    pub fn close_shared_listener(&mut self) {
+        if self.shutdown.has_begun() && self.shutdown.shares_listener {
+            self.adapters.client_listener.close_first_listener();
+        }
+    }
+
+    /// Returns the listener that other instances share, if there is one and it is open.
+    #[must_use]
+    pub fn shared_listener(&self) -> Option<&H::Listener> {
+        if !self.shutdown.shares_listener {
+            return None;
         }
+        let (_, listener) = self.adapters.client_listener.listeners().next()?;
+        listener
     }
 
     /// Begins the shutdown of a process whose successor serves: clients are not notified to use
--- a/crates/server/src/status_report.rs
+++ b/crates/server/src/status_report.rs
@@ -8,12 +8,15 @@
 use serde::Serialize;
 use serde_json::{json, Map, Value};
 use socket2::{Domain, SockAddr, Socket, Type};
-use std::io::{self, IoSlice, Write};
+use std::io::{self, IoSlice, Read, Write};
 use std::mem::MaybeUninit;
 use std::net::TcpListener;
 use std::os::fd::AsFd;
 use std::path::PathBuf;
 
+/// The supervisor's request to close the shared listener, a line that is sent once on a connection.
+pub const CLOSE_LISTENER_REQUEST: &[u8] = b"{\"close_listener\":true}\n";
+
 /// The status of a server, as reported to the supervisor.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
 pub struct Status {
@@ -106,34 +109,52 @@
     link: FleetLink,
     /// `None` while there is no connection.
     socket: Option<Socket>,
-    /// The listener that all instances share: a restarted supervisor gets it back from them.
-    listener: Option<TcpListener>,
+    /// The supervisor has requested that the shared listener be closed.
+    is_close_requested: bool,
 }
 
 impl StatusReporter {
     /// Creates a reporter that connects with its first report.
     #[must_use]
-    pub fn new(link: FleetLink, listener: Option<TcpListener>) -> Self {
+    pub fn new(link: FleetLink) -> Self {
         Self {
             link,
             socket: None,
-            listener,
+            is_close_requested: false,
         }
     }
 
     /// Reports the status. If the supervisor does not accept or read, the report is dropped, and
-    /// the next one reconnects.
-    pub fn report(&mut self, status: &Status) {
+    /// the next one reconnects. A new connection passes on `shared_listener`, the listener that all
+    /// instances share: a restarted supervisor gets it back from them.
+    pub fn report(&mut self, status: &Status, shared_listener: Option<&TcpListener>) {
         if self.socket.is_none() {
-            self.socket = self.connect().ok();
+            self.socket = self.connect(shared_listener).ok();
         }
+        self.receive_request();
         let sent = self.socket.as_ref().map(|socket| send(socket, status));
         if !matches!(sent, Some(Ok(()))) {
             self.socket = None;
         }
     }
 
-    fn connect(&self) -> io::Result<Socket> {
+    /// Returns true once after the supervisor has requested that the shared listener be closed, since
+    /// another instance accepts on it.
+    pub fn take_close_request(&mut self) -> bool {
+        std::mem::take(&mut self.is_close_requested)
+    }
+
+    /// Reads the supervisor's only request. An instance of an earlier release reads nothing.
+    fn receive_request(&mut self) {
+        let mut buffer = [0; CLOSE_LISTENER_REQUEST.len()];
+        let Some(mut socket) = self.socket.as_ref() else {
+            return;
+        };
+        let length = socket.read(&mut buffer).unwrap_or(0);
+        self.is_close_requested |= buffer[..length] == *CLOSE_LISTENER_REQUEST;
+    }
+
+    fn connect(&self, shared_listener: Option<&TcpListener>) -> io::Result<Socket> {
         let socket = Socket::new(Domain::UNIX, Type::STREAM, None)?;
         // A supervisor that does not accept must not block the event loop.
         socket.set_nonblocking(true)?;
@@ -145,7 +166,7 @@
         })?;
         let mut control_space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
         let mut control = SendAncillaryBuffer::new(&mut control_space);
-        let listeners: Vec<_> = self.listener.iter().map(AsFd::as_fd).collect();
+        let listeners: Vec<_> = shared_listener.iter().map(AsFd::as_fd).collect();
         if !listeners.is_empty() {
             control.push(SendAncillaryMessage::ScmRights(&listeners));
         }
--- a/src/main.rs
+++ b/src/main.rs
@@ -129,6 +129,10 @@
         .try_clone_to_owned()
         .map(TcpListener::from);
     let socket = socket.map_err(|e| format!("--inherit-listener: standard input: {e}"))?;
+    // Otherwise the socket would stay open, and the system accept connections on it, once the listener is closed.
+    std::fs::File::open("/dev/null")
+        .and_then(|null| Ok(rustix::stdio::dup2_stdin(&null)?))
+        .map_err(|e| format!("--inherit-listener: standard input: {e}"))?;
     match socket.local_addr() {
         Ok(_) => Ok(socket),
         Err(e) => Err(format!(
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -85,13 +85,29 @@
         surge: usize,
         shared_address: Option<SocketAddr>,
         extra_settings: &str,
+    ) -> Self {
+        Self::with_stop_timeout(
+            instances,
+            surge,
+            shared_address,
+            extra_settings,
+            Duration::from_millis(600),
+        )
+    }
+
+    fn with_stop_timeout(
+        instances: usize,
+        surge: usize,
+        shared_address: Option<SocketAddr>,
+        extra_settings: &str,
+        stop_timeout: Duration,
     ) -> Self {
         let folder = tempfile::tempdir().expect("creates a folder");
         let mut places = Vec::new();
         let mut sites = Vec::new();
         for (i, port) in free_ports(instances + surge).into_iter().enumerate() {
             let site = Site::start(Setup {
-                stop_timeout: 600_000,
+                stop_timeout: stop_timeout.as_micros() as u64,
                 drain_grace: 300_000,
                 seed: i as u64,
                 ..Setup::default()
@@ -661,3 +677,100 @@
     );
     fleet.shut_down();
 }
+
+/// Sends requests, each on a connection of its own, until `is_over` returns true. Returns the number of
+/// responses, and the errors of requests on connections that the system had accepted.
+fn send_until(
+    address: SocketAddr,
+    first_id: u64,
+    is_over: impl Fn() -> bool,
+) -> (u64, Vec<String>) {
+    let (mut responses, mut lost) = (0, Vec::new());
+    for id in first_id.. {
+        if is_over() {
+            break;
+        }
+        match send_request(address, id) {
+            Ok(()) => responses += 1,
+            // A refused connection proves that the request never ran.
+            Err(error) if error.starts_with("connect") => {
+                std::thread::sleep(Duration::from_millis(1));
+            }
+            Err(error) => lost.push(error),
+        }
+    }
+    (responses, lost)
+}
+
+/// Sends requests from three clients while `order` runs. Returns the number of responses, and the errors of
+/// requests on connections that the system had accepted.
+fn send_during(address: SocketAddr, order: impl FnOnce()) -> (u64, Vec<String>) {
+    let is_over = AtomicBool::new(false);
+    let (mut responses, mut lost) = (0, Vec::new());
+    std::thread::scope(|scope| {
+        let clients: Vec<_> = (0..3_u64)
+            .map(|client| {
+                let is_over = || is_over.load(Ordering::Relaxed);
+                scope.spawn(move || send_until(address, client << 32, is_over))
+            })
+            .collect();
+        order();
+        is_over.store(true, Ordering::Relaxed);
+        for client in clients {
+            let (client_responses, client_lost) = client.join().expect("the client has ended");
+            responses += client_responses;
+            lost.extend(client_lost);
+        }
+    });
+    (responses, lost)
+}
+
+/// Guards against a fleet that shuts down while the system goes on accepting connections for it that no
+/// process reads.
+#[test]
+fn a_shutdown_on_a_shared_address_answers_each_request_it_was_sent() {
+    let address = SocketAddr::from(([127, 0, 0, 3], free_ports(1)[0]));
+    let mut fleet = TestFleet::with_shared_address(2, 1, Some(address), "batch: 1, minimum: 1");
+    fleet.start_daemon();
+    fleet.wait_until("all warm", |view| view.converged);
+    let (responses, lost) = send_during(address, || {
+        std::thread::sleep(Duration::from_millis(200));
+        fleet.shut_down();
+    });
+    assert!(responses > 0);
+    assert!(lost.is_empty(), "{} lost: {:?}", lost.len(), lost.first());
+}
+
+/// Guards against a draining instance that leaves connections unread although no other instance accepts
+/// them: they waited for its successor, until after their deadline.
+#[test]
+fn the_only_instance_on_an_address_serves_new_connections_while_it_drains() {
+    let address = SocketAddr::from(([127, 0, 0, 3], free_ports(1)[0]));
+    let mut fleet = TestFleet::with_stop_timeout(
+        1,
+        0,
+        Some(address),
+        "batch: 1, minimum: 0",
+        Duration::from_millis(2_500),
+    );
+    fleet.start_daemon();
+    let incarnation = fleet.wait_until("warm", |view| view.converged).instances[0].incarnation;
+    fleet.replace(2).expect("begins the replacement");
+    fleet.wait_until("draining", |view| {
+        view.instances
+            .iter()
+            .any(|instance| instance.phase == Phase::Draining)
+    });
+    send_request(address, 1).expect("the draining instance responds");
+    let view = fleet.wait_until("the daemon responds", |_| true);
+    assert!(
+        view.instances
+            .iter()
+            .any(|instance| instance.incarnation == incarnation),
+        "the response came from the next instance: {view:#?}"
+    );
+    fleet.wait_until("replaced", |view| {
+        view.converged && view.stable_generation == 2
+    });
+    fleet.shut_down();
+}
