Decide on an arrival in linear time, and limit the number of live requests

Callers saw: beside one client that sent and cancelled small requests at full speed, the median answer took 86 ms (18 ms alone); beside 200 connections of 32 small requests, /_ready took up to 2.4 s.

Cause: for each arrival the controller sorted its queue and counted, for each queued request, all runs that wait for a call: the cube of the queue for a burst (perf: 78 to 90% in that count). Requests that claim hardly any work and memory passed every limit.

Change: count once per decision; sort only where a request might not finish in time; at most 2,048 live requests, further ones are rejected.

Before: the ratio test fails; number_of_live_requests_is_limited had run for over 60 s when it was ended. tests/decisions, rules and properties pass.

--- a/crates/policy/src/controller/admission.rs
+++ b/crates/policy/src/controller/admission.rs
@@ -4,6 +4,9 @@
 use super::{requires_call, Controller};
 use crate::interface::{Action, Effect, Micros, Request, RequestId, Settings};
 
+/// Maximum number of live requests.
+const MAX_REQUESTS: usize = 2_048;
+
 impl Controller {
     pub(super) fn on_arrival(&mut self, request: &Request, actions: &mut Vec<Action>) {
         self.arrivals.record_read_delay(request.read_delay);
@@ -113,13 +116,20 @@
     /// being rejected, since its original may have run.
     fn add_sharing_request(&mut self, request: RequestState, actions: &mut Vec<Action>) {
         let id = request.id;
-        let must_fail = request.caches_result && self.exceeds_memory(request.memory_kb);
+        let lacks_room = self.has_too_many_requests() || self.exceeds_memory(request.memory_kb);
+        let must_fail = request.caches_result && lacks_room;
         self.requests.insert(request);
         if must_fail {
             self.fail(id, actions);
         }
     }
 
+    /// Returns whether no further request is taken in. Each decision goes through all requests, however
+    /// little work and memory they claim.
+    fn has_too_many_requests(&self) -> bool {
+        self.requests.len() >= MAX_REQUESTS
+    }
+
     fn is_rejected(&self, request: &RequestState) -> bool {
         let class = self.class(request);
         let needs_key = request.caches_result || class.effect == Effect::Deduplicated;
@@ -133,7 +143,8 @@
         let lacks_call_capacity = requires_call(class)
             && (self.dependency.is_closed(self.clock.now, rank)
                 || self.is_call_queue_too_long(request));
-        self.arrived_after_grace(request)
+        self.has_too_many_requests()
+            || self.arrived_after_grace(request)
             || lacks_key_capacity
             || self.exceeds_memory(request.memory_kb + key_kb)
             || lacks_call_capacity
--- a/crates/policy/src/controller/queue.rs
+++ b/crates/policy/src/controller/queue.rs
@@ -70,7 +70,13 @@
     /// Returns the request to shed next, if any: the least urgent one among the first request that
     /// can't finish in time and those that run before it.
     fn next_to_shed(&self) -> Option<RequestId> {
+        if self.can_all_finish_in_time() {
+            return None;
+        }
         let has_free_core = self.cores_in_use() < self.concurrency.limit();
+        // Counted once: counting for each queued request would cost the square of their number.
+        let parallel_runs = self.parallel_runs();
+        let stall_time = self.stall_time();
         let mut work_ahead = 0.0;
         let mut least_urgency = f64::INFINITY;
         let mut least_urgent = 0;
@@ -81,7 +87,7 @@
             let wait = if work_ahead == 0.0 && has_free_core {
                 0.0
             } else {
-                work_ahead / self.parallel_runs() + self.stall_time()
+                work_ahead / parallel_runs + stall_time
             };
             let urgency = self.urgency(request);
             if urgency <= least_urgency {
@@ -96,6 +102,16 @@
         None
     }
 
+    /// Returns whether each queued request would finish in time even if it ran last. This is decided
+    /// without the order of the queue, since it holds for most arrivals.
+    fn can_all_finish_in_time(&self) -> bool {
+        let longest_wait = self.queue_load().waiting_time;
+        self.requests.queued().all(|request| {
+            let end = self.clock.now as f64 + longest_wait + self.run_time(request);
+            end <= self.latest_useful_time(request) as f64
+        })
+    }
+
     /// Returns whether a request that starts after `wait` microseconds finishes in time. If it is
     /// the only request it may always run, so that a recovery is noticed.
     fn can_finish_in_time(&self, request: &RequestState, wait: f64) -> bool {
--- a/crates/policy/src/controller/request_state.rs
+++ b/crates/policy/src/controller/request_state.rs
@@ -83,6 +83,10 @@
         self.requests.remove(&id)
     }
 
+    pub(super) fn len(&self) -> usize {
+        self.requests.len()
+    }
+
     /// Iterates over all requests, by ascending id.
     pub(super) fn iter(&self) -> impl Iterator<Item = &RequestState> {
         self.requests.values()
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -989,3 +989,62 @@
     // Six are not, so the tenant's requests are shed first.
     assert_eq!(rejected(&harness.step(&[arrival_of(&harness, 15, 0)])), [9]);
 }
+
+/// Returns a controller that has learned that runs take 0.1 ms, so that it queues thousands of requests.
+fn harness_with_short_runs() -> ControllerHarness {
+    let mut harness = ControllerHarness::new(settings());
+    for id in 1..=200 {
+        harness.arrive(id, 0);
+        harness.now += MS;
+        harness.step(&[run_ended(id, MS / 10)]);
+    }
+    harness
+}
+
+/// Returns the arrivals of requests that claim hardly any memory.
+fn small_arrivals(harness: &ControllerHarness, count: u64) -> Vec<Event> {
+    let first_id = 1_000;
+    (first_id..first_id + count)
+        .map(|id| {
+            Event::Arrived(Request {
+                memory_kb: 0.01,
+                ..harness.request(id, 0)
+            })
+        })
+        .collect()
+}
+
+/// Returns the time that one step with this many arrivals takes, the shortest of three.
+fn arrival_time(count: u64) -> std::time::Duration {
+    let measure = || {
+        let mut harness = harness_with_short_runs();
+        let events = small_arrivals(&harness, count);
+        let started_at = std::time::Instant::now();
+        let actions = harness.step(&events);
+        let elapsed = started_at.elapsed();
+        assert!(rejected(&actions).is_empty());
+        elapsed
+    };
+    (0..3).map(|_| measure()).min().unwrap_or_default()
+}
+
+/// Guards against small requests, sent as fast as possible, that keep the event loop from all other
+/// clients: the time of a step grew with the cube of the queue.
+#[test]
+fn time_of_a_step_grows_at_most_with_the_square_of_its_arrivals() {
+    const FACTOR: u64 = 4;
+    let ratio = arrival_time(150 * FACTOR).as_secs_f64() / arrival_time(150).as_secs_f64();
+    // The geometric mean of the square and the cube of the factor.
+    let bound = (FACTOR as f64).powf(2.5);
+    assert!(ratio < bound, "{ratio} times as long");
+}
+
+/// Guards against clients that claim hardly any work and memory for each of their requests, so that no
+/// other limit holds.
+#[test]
+fn number_of_live_requests_is_limited() {
+    let mut harness = harness_with_short_runs();
+    let events = small_arrivals(&harness, 3_000);
+    let actions = harness.step(&events);
+    assert_eq!(rejected(&actions).len(), 3_000 - 2_048);
+}
