Limit the memory of incomplete requests, and count that of open ones

Callers saw: a process that passes its memory limit is killed with all its requests. A gateway with `memory_mb: 64` took 147 MB at 500 connections with 32 requests of 247 short fields each and half of another; a matcher took 66 MB (TLS 78 MB) at 800 connections that stop half way after a burst.

Cause: the limit on open requests counted bytes on the wire, of which short fields occupy several times as much once decoded; all ready requests were decoded before the first was handled; input buffers doubled and kept the memory of earlier bursts; nothing limited incomplete requests of all connections together.

Change: count allocations; decode at most 256 requests in an iteration, the next goes on with the connections that are left; grow input buffers by 4 KB, shrink them to what is left; give up the largest incomplete request beyond a quarter of `limits.memory_mb` (gateway: half of `memory_mb`). Over TLS a read is bounded by the bytes received, so that records without data don't keep the loop; there was no such case to see before.

--- a/crates/dispatcher/src/event.rs
+++ b/crates/dispatcher/src/event.rs
@@ -61,6 +61,31 @@
     pub frame: Option<Vec<u8>>,
 }
 
+impl RequestHead {
+    /// Returns the approximate memory that the head occupies, in bytes. Short headers occupy several times
+    /// the bytes that they had on the wire.
+    #[must_use]
+    pub fn allocated_bytes(&self) -> usize {
+        let texts = [&self.method, &self.host, &self.target, &self.remote_address];
+        let texts: usize = texts.into_iter().map(|text| allocation(text.len())).sum();
+        let header = |(name, value): &(String, String)| {
+            size_of::<(String, String)>() + allocation(name.len()) + allocation(value.len())
+        };
+        let headers: usize = self.headers.iter().map(header).sum();
+        size_of::<Self>() + texts + headers + self.frame.as_ref().map_or(0, Vec::len)
+    }
+}
+
+/// Returns the approximate memory of an allocation of this length, with the allocator's own.
+fn allocation(length: usize) -> usize {
+    const MIN_BYTES: usize = 32;
+    const OVERHEAD_BYTES: usize = 16;
+    match length {
+        0 => 0,
+        _ => (length + OVERHEAD_BYTES).max(MIN_BYTES),
+    }
+}
+
 /// A command to the runtime.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RuntimeCommand {
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -93,15 +93,14 @@
     smoothed_latency: f64,
 }
 
-/// Returns the approximate memory that a request holds, in bytes.
+/// Approximate memory of a pending request without its head and body, in bytes.
+const PENDING_REQUEST_BYTES: usize = 1_024;
+
+/// Returns the approximate memory that a request holds, in bytes. Its frame or body counts twice, since it is
+/// copied to the connection of its target.
 fn request_size(head: &RequestHead, request: &IncomingRequest) -> usize {
-    let headers: usize = head
-        .headers
-        .iter()
-        .map(|(name, value)| name.len() + value.len() + 48)
-        .sum();
-    let frame = head.frame.as_ref().map_or(0, Vec::len);
-    512 + headers + frame + head.target.len() + head.host.len() + request.body.len()
+    let copied = head.frame.as_ref().map_or(0, Vec::len) + request.body.len();
+    PENDING_REQUEST_BYTES + head.allocated_bytes() + request.body.len() + copied
 }
 
 impl Pool {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,8 @@
 
 /// Descriptors that neither client nor target connections use: those of the event loop, the listeners and the log.
 const RESERVED_DESCRIPTORS: usize = 24;
+/// Incomplete requests of callers may occupy one part in this many of the memory of open requests.
+const BUFFER_DIVISOR: usize = 2;
 /// Interval at which idle connections to targets are closed, in microseconds.
 const IDLE_SWEEP_INTERVAL: Micros = 500_000;
 /// Time before the stop at which callers are notified to send no more requests, in microseconds. It leaves time to answer
@@ -134,6 +136,7 @@
             }
         }
         client_listener.set_idle_timeout(30_000_000);
+        client_listener.set_buffer_limit(options.settings.max_held_bytes / BUFFER_DIVISOR);
         let core = GatewayCore::new(&options.settings).map_err(io::Error::other)?;
         let Options {
             target_protocol,
--- a/crates/gateway/tests/core.rs
+++ b/crates/gateway/tests/core.rs
@@ -370,3 +370,33 @@
     // Guards against seeds that exercise too little: each reason not to retry has to occur.
     assert_eq!(denials.len(), 6, "{denials:?}");
 }
+
+/// Guards against requests with very many short fields, which occupy several times the bytes that they had
+/// on the wire.
+#[test]
+fn memory_limit_counts_the_allocations_of_short_fields() {
+    const MAX_HELD_BYTES: usize = 1_000_000;
+    const FIELDS: usize = 240;
+    let settings = Settings {
+        max_held_bytes: MAX_HELD_BYTES,
+        ..settings("", 0.1, 1, 0)
+    };
+    let mut core = GatewayCore::new(&settings).expect("a valid configuration");
+    let mut actions = Vec::new();
+    for stream in 1..=1_000 {
+        let mut request = request(stream, "/seat", START);
+        let head = request.head.as_mut().expect("the request has a head");
+        head.headers = (0..FIELDS)
+            .map(|field| (format!("{field:02x}"), "1".to_owned()))
+            .collect();
+        core.on_request(START, request, &mut actions);
+    }
+    // Two strings, each with the smallest block of an allocator.
+    let field_bytes = size_of::<(String, String)>() + 2 * 32;
+    assert!(core.pending_count() > 0);
+    assert!(
+        core.pending_count() * FIELDS * field_bytes <= MAX_HELD_BYTES,
+        "{} requests are held",
+        core.pending_count()
+    );
+}
--- a/crates/protocol/src/ajp/server.rs
+++ b/crates/protocol/src/ajp/server.rs
@@ -272,8 +272,8 @@
                 format!("a body may have {} bytes", settings.max_body_bytes),
             );
         }
+        // The body gets its memory as it arrives: a declared length costs the sender nothing.
         let mut incoming = self.read_parameters(context, class, packet_began_at, &request)?;
-        incoming.body.reserve_exact(declared_length.unwrap_or(0));
         incoming.head = request_head
             .filter(|_| {
                 settings
@@ -710,6 +710,16 @@
         true
     }
 
+    fn buffered_bytes(&self) -> usize {
+        match &self.stage {
+            Stage::ReadingBody { incoming, .. } => {
+                let head = incoming.head.as_ref();
+                incoming.body.capacity() + head.map_or(0, |head| head.allocated_bytes())
+            }
+            Stage::Idle | Stage::AwaitingResponse(_) => 0,
+        }
+    }
+
     fn deadline(&self) -> Option<Micros> {
         if self.status.state == ConnectionState::Closing || self.status.open_requests > 0 {
             return None;
--- a/crates/protocol/src/state_machine.rs
+++ b/crates/protocol/src/state_machine.rs
@@ -101,6 +101,12 @@
         output: &mut Vec<u8>,
     ) -> bool;
 
+    /// Returns the memory, in bytes, that an incomplete message occupies beyond the input that was not
+    /// consumed.
+    fn buffered_bytes(&self) -> usize {
+        0
+    }
+
     /// Returns the streams whose requests the client has cancelled, each one once. No response is
     /// sent for them.
     fn take_cancelled_streams(&mut self) -> Vec<u32> {
--- a/crates/server/src/buffered_connection.rs
+++ b/crates/server/src/buffered_connection.rs
@@ -15,6 +15,8 @@
 /// Number of bytes of one read from a socket. The output buffer is compacted once it holds more
 /// sent bytes than this.
 const READ_CHUNK_BYTES: usize = 16_384;
+/// Step by which the buffer of received bytes grows.
+const BUFFER_GROWTH_BYTES: usize = 4_096;
 /// Maximum capacity of an empty buffer.
 const MAX_IDLE_CAPACITY_BYTES: usize = 4_096;
 
@@ -118,14 +120,16 @@
         self.stream.take_error()
     }
 
-    /// Reads until `input` holds `limit` bytes or no more bytes are available. Returns true if more
-    /// may be available.
+    /// Reads until `input` holds `limit` bytes, as many have been received in this call, or no more
+    /// bytes are available. Returns true if more may be available.
     ///
     /// # Errors
     /// The error that broke the connection.
     pub fn read(&mut self, limit: usize) -> io::Result<bool> {
+        // Over TLS, records with little data or none would otherwise be read without end.
+        let mut received = 0;
         while self.readable && !self.is_read_closed {
-            if self.input.len() >= limit {
+            if self.input.len() >= limit || received >= limit {
                 return Ok(true);
             }
             if self.tls_layer().is_some_and(TlsLayer::is_reading_paused) {
@@ -133,19 +137,23 @@
                 // buffer.
                 return Ok(false);
             }
-            self.read_chunk()?;
+            received += self.read_chunk()?;
         }
         Ok(false)
     }
 
-    fn read_chunk(&mut self) -> io::Result<()> {
+    /// Reads once; returns the number of bytes received.
+    fn read_chunk(&mut self) -> io::Result<usize> {
         let mut received = Ok(false);
         let read = READ_CHUNK.with_borrow_mut(|chunk| {
             let read = self.stream.read(chunk);
             if let Ok(length) = read {
                 let bytes = &chunk[..length];
                 match &mut self.tls {
-                    None => self.input.extend_from_slice(bytes),
+                    None => {
+                        reserve(&mut self.input, bytes.len());
+                        self.input.extend_from_slice(bytes);
+                    }
                     Some(tls) if length > 0 => {
                         received = tls.layer.receive(bytes, &mut self.input, &mut self.output);
                     }
@@ -162,12 +170,15 @@
         }
         match read {
             Ok(0) => self.is_read_closed = true,
-            Ok(_) => self.is_read_closed |= received.unwrap_or(false),
+            Ok(length) => {
+                self.is_read_closed |= received.unwrap_or(false);
+                return Ok(length);
+            }
             Err(error) if error.kind() == ErrorKind::WouldBlock => self.readable = false,
             Err(error) if error.kind() == ErrorKind::Interrupted => {}
             Err(error) => return Err(error),
         }
-        Ok(())
+        Ok(0)
     }
 
     /// Returns true if the socket is not known to be readable and no partial message is buffered.
@@ -180,6 +191,10 @@
     pub fn consume(&mut self, used: usize) {
         self.input.drain(..used);
         shrink_if_empty(&mut self.input);
+        // An incomplete message does not keep the memory of a burst before it.
+        if self.input.capacity() > self.input.len() + 2 * BUFFER_GROWTH_BYTES {
+            self.input.shrink_to(self.input.len());
+        }
     }
 
     /// Returns the buffer of the bytes to send with the next [`flush`](Self::flush).
@@ -253,6 +268,16 @@
     }
 }
 
+/// Reserves room for `length` more bytes, in small steps: doubling would give an incomplete message up to twice
+/// its memory.
+fn reserve(buffer: &mut Vec<u8>, length: usize) {
+    let needed = buffer.len() + length;
+    if needed > buffer.capacity() {
+        let rounded = needed.next_multiple_of(BUFFER_GROWTH_BYTES);
+        buffer.reserve_exact(rounded - buffer.len());
+    }
+}
+
 /// Shrinks an empty buffer that has grown. Otherwise each connection would keep the memory of its
 /// largest burst until it closes.
 fn shrink_if_empty(buffer: &mut Vec<u8>) {
--- a/crates/server/src/client_listener.rs
+++ b/crates/server/src/client_listener.rs
@@ -11,12 +11,14 @@
 //! | `machine_context` | context shared by all state machines |
 //! | `listen` | listening on addresses |
 //! | `acceptor`, `accept` | assignment of connection slots, and rejected connections |
+//! | `buffer_limit` | limit on the memory of incomplete messages |
 //! | `sweeper`, `eviction` | eviction of connections, idle timeouts |
 //! | `tls_handshakes`, `handshakes` | TLS handshakes, and permissions by certificate names |
 //! | `draining` | notices to clients about a successor or a shutdown |
 
 mod accept;
 mod acceptor;
+mod buffer_limit;
 mod client_connection;
 mod client_protocol;
 mod draining;
@@ -49,6 +51,12 @@
 use sweeper::Sweeper;
 use tls_handshakes::TlsHandshakes;
 
+/// Number of events in one iteration after which no further connection is served, so that the requests
+/// of many clients are handled, and the responses sent, before more of them are read.
+const MAX_EVENTS_PER_POLL: usize = 256;
+/// Maximum number of bytes of all incomplete messages, unless another limit is set.
+const DEFAULT_MAX_BUFFERED_BYTES: usize = 32_000_000;
+
 /// Resources that a [`ClientListener`] holds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ClientListenerUsage {
@@ -96,6 +104,11 @@
     /// Numbers of connections with more to read than one iteration reads: no further edge reports
     /// them.
     has_more: Vec<u64>,
+    /// The connection to begin with, if the last iteration did not serve all that were ready.
+    next_to_serve: Option<u64>,
+    /// Bytes of all incomplete messages.
+    buffered_bytes: usize,
+    max_buffered_bytes: usize,
     /// Requests received on the connection that is being read.
     arrivals: Vec<IncomingRequest>,
 }
@@ -120,6 +133,9 @@
             shutdown: ShutdownNotices::default(),
             ready: Vec::new(),
             has_more: Vec::new(),
+            next_to_serve: None,
+            buffered_bytes: 0,
+            max_buffered_bytes: DEFAULT_MAX_BUFFERED_BYTES,
             arrivals: Vec::new(),
         }
     }
@@ -284,13 +300,7 @@
     pub fn poll(&mut self, now: Micros, events: &mut Vec<Event>) -> bool {
         self.accept(now, events);
         self.poll_handshakes(now, events);
-        let mut ready = std::mem::take(&mut self.ready);
-        ready.append(&mut self.has_more);
-        ready.sort_unstable();
-        ready.dedup();
-        for number in ready {
-            self.serve(now, number, events);
-        }
+        self.serve_ready(now, events);
         // Swept after reading, so that a pause of the machine does not count as idle time of
         // clients.
         if self.sweeper.is_due(now) {
@@ -299,6 +309,29 @@
         !self.has_more.is_empty() || (self.is_acceptable() && now >= self.acceptor.accept_at)
     }
 
+    /// Serves the ready connections by ascending number, up to a number of events. The next call begins with
+    /// those that are left.
+    fn serve_ready(&mut self, now: Micros, events: &mut Vec<Event>) {
+        let mut ready = std::mem::take(&mut self.ready);
+        ready.append(&mut self.has_more);
+        ready.sort_unstable();
+        ready.dedup();
+        let next = self.next_to_serve.take().unwrap_or(0);
+        let already_served = ready.partition_point(|number| *number < next);
+        ready.rotate_left(already_served);
+        let max_events = events.len() + MAX_EVENTS_PER_POLL;
+        let mut ready = ready.into_iter();
+        for number in ready.by_ref() {
+            if events.len() >= max_events {
+                self.next_to_serve = Some(number);
+                self.has_more.push(number);
+                break;
+            }
+            self.serve(now, number, events);
+        }
+        self.has_more.extend(ready);
+    }
+
     /// Reads and sends on a connection, and closes it if it has ended.
     fn serve(&mut self, now: Micros, number: u64, events: &mut Vec<Event>) {
         let Some(connection) = self.connections.get_mut(&number) else {
@@ -318,6 +351,7 @@
         self.poll_handshake(now, number, events);
         self.forward_arrivals(number, events);
         self.report_cancelled(number, events);
+        self.limit_buffers(now, number);
         match next_action {
             Ok(NextAction::Wait) => {}
             Ok(NextAction::ReadAgain) => self.has_more.push(number),
@@ -383,6 +417,7 @@
         let Some(connection) = self.connections.remove(&number) else {
             return;
         };
+        self.buffered_bytes -= connection.counted_buffer_bytes;
         self.acceptor.on_closed(number, connection.is_rejected);
         if connection.machine.status().open_requests > 0 {
             events.push(Event::ConnectionLost(number));
--- a/crates/server/src/client_listener/client_connection.rs
+++ b/crates/server/src/client_listener/client_connection.rs
@@ -39,6 +39,8 @@
     /// The client got no connection slot, or its certificate name has too many: it is notified to
     /// close, and the connection is closed soon after its requests have their responses.
     pub(super) is_rejected: bool,
+    /// Bytes that the listener has counted for this connection's incomplete message.
+    pub(super) counted_buffer_bytes: usize,
 }
 
 /// Next action on a connection after it was served.
@@ -81,9 +83,15 @@
             trust_level,
             certificate_names: Vec::new(),
             is_rejected,
+            counted_buffer_bytes: 0,
         }
     }
 
+    /// Returns the memory of an incomplete message, in bytes.
+    pub(super) fn buffered_bytes(&self) -> usize {
+        self.stream.input.capacity() + self.machine.buffered_bytes()
+    }
+
     pub(super) fn is_lingering(&self) -> bool {
         self.lingering_since.is_some()
     }
--- a/crates/server/src/client_listener/tests.rs
+++ b/crates/server/src/client_listener/tests.rs
@@ -406,3 +406,91 @@
         "the longest silent ones are closed first"
     );
 }
+
+/// Returns the front of a request that claims 16,000 bytes.
+fn partial_request(length: usize) -> Vec<u8> {
+    let mut frame = 16_005_u32.to_be_bytes().to_vec();
+    frame.push(frame::codec::REQUEST);
+    frame.extend_from_slice(&1_u32.to_be_bytes());
+    frame.resize(length, b'x');
+    frame
+}
+
+/// Guards against hundreds of clients that stop half way through a large request, whose buffers exceed
+/// the memory of the process.
+#[test]
+fn memory_of_incomplete_requests_is_limited() {
+    const CLIENTS: usize = 40;
+    const LIMIT: usize = 200_000;
+    let (_event_loop, mut listener, mut clients) = connect_clients_of_class(64, CLIENTS);
+    listener.set_buffer_limit(LIMIT);
+    let (small, large) = clients.split_at_mut(1);
+    std::io::Write::write_all(&mut small[0], &request(9)[..20]).expect("bytes are sent");
+    for client in large {
+        std::io::Write::write_all(client, &partial_request(15_000)).expect("bytes are sent");
+    }
+    let mut events = Vec::new();
+    for number in 1..=CLIENTS as u64 {
+        listener.on_readiness(number, READABLE);
+    }
+    listener.poll(2, &mut events);
+    assert!(
+        listener.buffered_bytes() <= LIMIT,
+        "{}",
+        listener.buffered_bytes()
+    );
+    // The largest give way, and a slow small request is still accepted.
+    std::io::Write::write_all(&mut small[0], &request(9)[20..]).expect("bytes are sent");
+    listener.on_readiness(1, READABLE);
+    listener.poll(3, &mut events);
+    assert_eq!(read_request_ids(&events), [9]);
+}
+
+/// Guards against an incomplete request that keeps the memory of a burst before it.
+#[test]
+fn incomplete_request_after_a_burst_keeps_only_its_own_memory() {
+    let (_event_loop, mut listener, mut clients) = connect_clients_of_class(8, 1);
+    let mut burst = Vec::new();
+    while burst.len() < 60_000 {
+        // Health checks without fields.
+        burst.extend_from_slice(&[0, 0, 0, 6, 6, 0, 0, 0, 1, 0]);
+    }
+    burst.extend_from_slice(&partial_request(100));
+    std::io::Write::write_all(&mut clients[0], &burst).expect("bytes are sent");
+    listener.on_readiness(1, READABLE);
+    while listener.poll(2, &mut Vec::new()) {}
+    assert!(
+        listener.connections[&1].stream.input.capacity() <= 16_384,
+        "{}",
+        listener.connections[&1].stream.input.capacity()
+    );
+}
+
+/// Guards against requests of many clients that are all read, with their memory, before the first of them
+/// is handled.
+#[test]
+fn one_iteration_reads_a_limited_number_of_requests_and_the_next_goes_on() {
+    const CLIENTS: u64 = 700;
+    let (_event_loop, mut listener, mut clients) = connect_clients_of_class(1_000, 128);
+    while clients.len() < CLIENTS as usize {
+        let address = clients[0].peer_addr().expect("client is connected");
+        clients.push(TcpStream::connect(address).expect("listener accepts connections"));
+        listener.on_acceptable(0);
+        listener.poll(1, &mut Vec::new());
+    }
+    for (client, id) in clients.iter_mut().zip(1_u64..) {
+        std::io::Write::write_all(client, &request(id)).expect("bytes are sent");
+        listener.on_readiness(id, READABLE);
+    }
+    let mut ids = Vec::new();
+    loop {
+        let mut events = Vec::new();
+        let has_more = listener.poll(2, &mut events);
+        assert!(events.len() <= 256, "{}", events.len());
+        ids.extend(read_request_ids(&events));
+        if !has_more {
+            break;
+        }
+    }
+    assert_eq!(ids, (1..=CLIENTS).collect::<Vec<_>>());
+}
--- a/crates/server/src/options.rs
+++ b/crates/server/src/options.rs
@@ -78,6 +78,8 @@
     pub shutdown_time: Micros,
     /// Maximum number of file descriptors of the process.
     pub max_descriptors: usize,
+    /// Maximum memory of the incomplete requests of all clients, in bytes.
+    pub max_buffered_bytes: usize,
     /// Names of the request classes, by index.
     pub class_names: Vec<String>,
     /// Names of the gauges, in the order in which the runtime sends them.
--- a/crates/server/src/server/construction.rs
+++ b/crates/server/src/server/construction.rs
@@ -164,6 +164,7 @@
     let class_names = options.class_names.clone();
     let mut client_listener =
         ClientListener::new(host.clone(), class_names, limits.client_connections);
+    client_listener.set_buffer_limit(options.max_buffered_bytes);
     if let Some(settings) = options.connection_admission.take() {
         client_listener.set_admission(Admission::new(settings, host.now()));
     }
--- a/crates/simulator/src/machine.rs
+++ b/crates/simulator/src/machine.rs
@@ -33,6 +33,8 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 
+/// Maximum memory of the incomplete requests of a simulated server's clients, in bytes.
+const MAX_BUFFERED_BYTES: usize = 32_000_000;
 /// Polling a process this often at the same virtual time counts as a busy loop.
 const MAX_POLLS_PER_INSTANT: u32 = 3_000;
 /// Maximum number of processes of a machine that are distinguished at the same time.
@@ -679,6 +681,7 @@
             seed: self.plan.seed ^ machine.incarnation.rotate_left(32) ^ m as u64,
             shutdown_time: SHUTDOWN_TIME,
             max_descriptors: self.plan.max_descriptors,
+            max_buffered_bytes: MAX_BUFFERED_BYTES,
             class_names,
             gauge_names,
             settings,
--- a/src/config.rs
+++ b/src/config.rs
@@ -18,6 +18,10 @@
 const DEFAULT_KEY_FRAME_FIELD: &str = "unique";
 /// Size of the largest result that the protocol allows.
 const MAX_RESULT_BYTES: usize = 4_096;
+/// Incomplete requests of clients may occupy at most one part in this many of the process's memory.
+const BUFFER_MEMORY_DIVISOR: usize = 4;
+/// Minimum memory for incomplete requests, in bytes: enough for two AJP packets of the maximum size.
+const MIN_BUFFER_BYTES: usize = 262_144;
 /// Results of keyed requests take at most one part in this many of the process's memory. Up to the
 /// same amount again is dead data in files, which count as memory, until it is compacted.
 const RESULT_MEMORY_DIVISOR: usize = 4;
@@ -188,6 +192,8 @@
             seed: self.seed,
             shutdown_time: self.shutdown_time,
             max_descriptors: self.max_descriptors,
+            max_buffered_bytes: (self.max_memory_mb * 1_000_000 / BUFFER_MEMORY_DIVISOR)
+                .max(MIN_BUFFER_BYTES),
             class_names: self.class_names,
             gauge_names: self.gauge_names,
             settings: self.settings,
