Read nothing more from a client that has reset its connection

Callers saw: a client that closed its connection with much unread had its requests run, or forwarded by a gateway, afterwards; one that sent them again elsewhere had them run twice.

Cause: a read returns what was received before the reset, 64 KB in an iteration, and its requests were passed on before the read that meets the reset.

Change: look up the socket's error before reading.

Measured: the new test (200 KB unread) fails before: two requests read where one client is left.

--- a/crates/server/src/client_listener/client_connection.rs
+++ b/crates/server/src/client_listener/client_connection.rs
@@ -106,6 +106,9 @@
         arrivals: &mut Vec<IncomingRequest>,
     ) -> io::Result<NextAction> {
         let mut has_more = false;
+        // Requests that were sent before the client reset the connection can still be read. Nobody waits for
+        // them, and the client may have sent them again.
+        self.stream.take_error()?;
         self.stream.flush()?;
         if self.stream.unsent_bytes() < MAX_UNSENT_BYTES {
             has_more = self.stream.read(READ_LIMIT_BYTES)?;
--- a/crates/server/src/client_listener/tests.rs
+++ b/crates/server/src/client_listener/tests.rs
@@ -407,6 +407,34 @@
     );
 }
 
+/// Guards against requests that run although their client has left: it reset its connection, for
+/// example by closing it with unread responses, and may send them again elsewhere.
+#[test]
+fn requests_of_a_client_that_has_reset_its_connection_are_not_read() {
+    let (_event_loop, mut listener, mut clients) = connect_clients_of_class(8, 2);
+    // More than one iteration reads, so that the reset is not seen with the first read.
+    let health_checks = [0, 0, 0, 6, 6, 0, 0, 0, 2, 0].repeat(20_000);
+    for client in &mut clients {
+        std::io::Write::write_all(client, &request(7)).expect("bytes are sent");
+        std::io::Write::write_all(client, &health_checks).expect("bytes are sent");
+    }
+    let reset = socket2::Socket::from(clients.remove(0));
+    reset
+        .set_linger(Some(std::time::Duration::ZERO))
+        .expect("option is set");
+    drop(reset);
+    listener.on_readiness(1, READABLE);
+    listener.on_readiness(2, READABLE);
+    let mut events = Vec::new();
+    listener.poll(2, &mut events);
+    assert_eq!(
+        read_request_ids(&events).len(),
+        1,
+        "only the other client waits"
+    );
+    assert_eq!(numbers(&listener), [2]);
+}
+
 /// Returns the front of a request that claims 16,000 bytes.
 fn partial_request(length: usize) -> Vec<u8> {
     let mut frame = 16_005_u32.to_be_bytes().to_vec();
