Remember the ids of started runs, and pass them to the next process

Callers saw: a request that came again with its id after its client had left and its run had ended ran twice; so did one that came to the new process of an upgrade after it had run at the old one.

Cause: the table of live requests was the only memory of ids.

A process saves them in the handover folder when it hands over the clients and when it ends; the next one reads them. Generated AJP ids are now those of one process only: a gateway without `seed` gave the same ones after each start, and a matcher's successor those of its predecessor.

--- a/crates/dispatcher/src/arrivals.rs
+++ b/crates/dispatcher/src/arrivals.rs
@@ -23,6 +23,7 @@
         mut incoming: IncomingRequest,
         commands: &mut Vec<Command>,
     ) {
+        self.started_ids.remove_expired(now);
         if incoming.key.is_some() {
             incoming.id = self.unused_id(incoming.id, incoming.client, incoming.class);
         }
@@ -33,8 +34,8 @@
             });
             return;
         };
-        // Every attempt has a new id. A request whose id is known may be running, and must not run
-        // twice.
+        // Every attempt has a new id. A request whose id is known may be running or have run, and must
+        // not run twice.
         if self.is_known(incoming.id) {
             self.respond_unregistered(&incoming, Response::Failed, commands);
             return;
@@ -136,13 +137,13 @@
         self.respond_unregistered(incoming, response, commands);
     }
 
-    /// Returns whether a request with this id is pending or still runs.
+    /// Returns whether a request with this id is pending, still runs, or has run in the last minute.
     pub(crate) fn is_known(&self, id: RequestId) -> bool {
         let runs = self
             .keys
             .as_ref()
             .is_some_and(|keys| keys.table.is_started(id));
-        runs || self.requests.contains(id)
+        runs || self.requests.contains(id) || self.started_ids.contains(id)
     }
 
     /// Abandons the pending requests of the matching client streams, whose callers no longer wait.
--- a/crates/dispatcher/src/controller_actions.rs
+++ b/crates/dispatcher/src/controller_actions.rs
@@ -66,6 +66,7 @@
             std::mem::take(&mut request.body)
         };
         self.counters.on_forwarded(request.class);
+        self.started_ids.on_started(now, id);
         commands.push(Command::StartRun {
             id,
             class: request.class,
--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -7,6 +7,7 @@
 use crate::event::{Event, ResourceUsage};
 use crate::idempotency_keys::IdempotencyKeys;
 use crate::request_state::{RequestStage, RequestTable};
+use crate::started_ids::{StartedId, StartedIds};
 use cleatpulley_idempotency::key_table::KeyCommand;
 use cleatpulley_policy::bug_injection::{is_bug_injected, InjectedBug};
 use cleatpulley_policy::interface::{Action, Event as ControllerEvent, Micros, Settings};
@@ -24,6 +25,7 @@
     /// Commands of the table of keys that have not been executed yet.
     pub(crate) key_commands: Vec<KeyCommand>,
     pub(crate) counters: Counters,
+    pub(crate) started_ids: StartedIds,
 }
 
 /// The controller, with its pending events and the buffer of its actions.
@@ -84,6 +86,7 @@
             keys: None,
             key_commands: Vec::new(),
             counters: Counters::new(settings.classes.len()),
+            started_ids: StartedIds::default(),
             settings,
         }
     }
@@ -115,6 +118,26 @@
         self.deadlines.len()
     }
 
+    /// Returns the ids of requests that may have run or may still run here. The process that takes over the
+    /// clients must not run them again.
+    #[must_use]
+    pub fn export_started_ids(&self, now: Micros) -> Vec<StartedId> {
+        let mut pending = StartedIds::default();
+        for id in self.requests.ids_in_order(|_| true) {
+            pending.on_started(now, id);
+        }
+        self.started_ids.iter().chain(pending.iter()).collect()
+    }
+
+    /// Records ids that another process of this server has exported.
+    pub fn import_started_ids(&mut self, now: Micros, mut started_ids: Vec<StartedId>) {
+        started_ids.sort_unstable_by_key(|started| started.expires_at);
+        for started in started_ids {
+            self.started_ids.insert(started);
+        }
+        self.started_ids.remove_expired(now);
+    }
+
     /// Returns the counts of responses since the process started.
     #[must_use]
     pub fn counters(&self) -> &Counters {
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -17,6 +17,7 @@
 //! | `responses`, `deadlines` | one response for each request, by its deadline |
 //! | `idempotency_keys`, `keyed_requests`, `key_commands` | requests with an idempotency key |
 //! | `controller_timers` | the controller's timers and gauges |
+//! | `started_ids` | ids of runs that were started, so that none runs twice |
 //! | `request_state` | state of a request, and the table of requests |
 //! | `counters`, `request_trace` | counts and traces of responses |
 
@@ -36,6 +37,7 @@
 mod response;
 mod responses;
 mod runs;
+mod started_ids;
 
 pub use cleatpulley_idempotency::key_table;
 pub use command::{Command, DependencyCall};
@@ -44,3 +46,4 @@
 pub use event::{ClientStream, Event, IncomingRequest, RequestHead, ResourceUsage, RuntimeCommand};
 pub use idempotency_keys::{IdempotencyKeys, KeyScope};
 pub use response::{RequestError, Response};
+pub use started_ids::StartedId;
--- a/crates/server/src/host.rs
+++ b/crates/server/src/host.rs
@@ -5,7 +5,7 @@
 use crate::socket_owner::SocketOwner;
 use cleatpulley_connection_admission::reputation_database::StoredReputation;
 use cleatpulley_dispatcher::key_table::KeyCommand;
-use cleatpulley_dispatcher::Event;
+use cleatpulley_dispatcher::{Event, StartedId};
 use cleatpulley_idempotency::record::ScopedKey;
 use cleatpulley_policy::interface::{Micros, RequestId};
 use std::io;
@@ -232,6 +232,22 @@
         owner: SocketOwner,
     ) -> io::Result<Self::HandoverChannel>;
 
+    /// Saves the ids of requests that this process may have run, for the process that takes over.
+    ///
+    /// # Errors
+    /// Errors of the operating system.
+    fn save_started_ids(&self, _: &HandoverAddress, _: &[StartedId]) -> io::Result<()> {
+        Ok(())
+    }
+
+    /// Loads the ids that the process before this one has saved.
+    ///
+    /// # Errors
+    /// Errors of the operating system, or a malformed file.
+    fn load_started_ids(&self, _: &HandoverAddress) -> io::Result<Vec<StartedId>> {
+        Ok(Vec::new())
+    }
+
     /// Opens the persistence of the reputation of at most `max_addresses` addresses.
     ///
     /// # Errors
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod server;
 pub mod serving_process;
 pub mod socket_owner;
+mod started_ids_file;
 pub mod status_report;
 pub mod tls_layer;
 
--- a/crates/server/src/os_host/host.rs
+++ b/crates/server/src/os_host/host.rs
@@ -8,6 +8,8 @@
 use crate::persistence_thread::PersistenceThread;
 use crate::reputation_store::ReputationStorage;
 use crate::socket_owner::SocketOwner;
+use crate::started_ids_file;
+use cleatpulley_dispatcher::StartedId;
 use cleatpulley_policy::interface::Micros;
 use socket2::{Domain, Protocol, Socket, Type};
 use std::cell::RefCell;
@@ -220,6 +222,18 @@
         self.watch_stream(socket.into(), owner)
     }
 
+    fn save_started_ids(
+        &self,
+        address: &HandoverAddress,
+        started_ids: &[StartedId],
+    ) -> io::Result<()> {
+        started_ids_file::save(address, started_ids)
+    }
+
+    fn load_started_ids(&self, address: &HandoverAddress) -> io::Result<Vec<StartedId>> {
+        started_ids_file::load(address)
+    }
+
     fn open_reputation_storage(
         &self,
         folder: PathBuf,
--- a/crates/server/src/server/construction.rs
+++ b/crates/server/src/server/construction.rs
@@ -88,7 +88,11 @@
             &mut hot_restart,
         )?;
         let management = listen_for_operators(&host, options.management, tls.as_ref())?;
-        let handover = Handover::new(hot_restart, limits.client_connections);
+        let handover = Handover::new(
+            hot_restart,
+            handover_address(&options),
+            limits.client_connections,
+        );
         let key_persistence = create_key_persistence(&host, &options, &handover)?;
         let adapters = Adapters {
             client_listener,
@@ -207,17 +211,22 @@
     addresses
 }
 
+/// Returns the rendezvous with other processes of this server, if there is a handover folder.
+fn handover_address(options: &Options) -> Option<HandoverAddress> {
+    Some(HandoverAddress {
+        folder: options.handover_folder.clone()?,
+        name: options.name.clone(),
+        address: options.listen,
+    })
+}
+
 /// Connects to the predecessor, if there is one; returns `None` without a handover folder.
 fn find_predecessor<H: Host>(
     host: &H,
     options: &Options,
     addresses: &[ClientAddress],
 ) -> Option<HotRestart<H>> {
-    let handover_address = HandoverAddress {
-        folder: options.handover_folder.clone()?,
-        name: options.name.clone(),
-        address: options.listen,
-    };
+    let handover_address = handover_address(options)?;
     let addresses: Vec<_> = addresses.iter().map(|listen| listen.address).collect();
     Some(HotRestart::new(host.clone(), handover_address, &addresses))
 }
--- a/crates/server/src/server/handover.rs
+++ b/crates/server/src/server/handover.rs
@@ -5,7 +5,7 @@
 use super::{Server, RESERVED_DESCRIPTORS};
 use crate::client_listener::ListenFailure;
 use crate::error::StartError;
-use crate::host::{Host, ResultPersistence as _};
+use crate::host::{HandoverAddress, Host, ResultPersistence as _};
 use crate::hot_restart::{self, HotRestart, HotRestartStep, InheritedListener};
 use crate::management_endpoint;
 use cleatpulley_dispatcher::key_table::KeyTable;
@@ -135,11 +135,48 @@
 
     fn serve(&mut self, hot_restart: &mut HotRestart<H>) {
         tracing::info!("upgrade: takes clients");
+        self.handover.address = self.handover_address();
+        self.load_started_ids();
         self.adapters.client_listener.resume_accepting();
         self.reputation.open(&self.host);
         self.listen_for_successors(hot_restart);
     }
 
+    /// Saves the ids of the requests that this process may have run or may still run, for its successor.
+    pub(super) fn save_started_ids(&self, now: Micros) {
+        let Some(address) = self.handover_address() else {
+            return;
+        };
+        let started_ids = self.dispatcher.export_started_ids(now);
+        if let Err(error) = self.host.save_started_ids(&address, &started_ids) {
+            tracing::warn!(%error, "upgrade: the successor does not learn the ids of requests that ran");
+        }
+    }
+
+    /// Returns the rendezvous with other processes of this server, with the address that it listens on.
+    fn handover_address(&self) -> Option<HandoverAddress> {
+        let known = self.handover.address.clone()?;
+        // There is no listener any more shortly before the stop.
+        let first_listener = self.adapters.client_listener.listeners().next();
+        Some(HandoverAddress {
+            address: first_listener.map_or(known.address, |(address, _)| address),
+            ..known
+        })
+    }
+
+    fn load_started_ids(&mut self) {
+        let Some(address) = self.handover_address() else {
+            return;
+        };
+        let now = self.host.now();
+        match self.host.load_started_ids(&address) {
+            Ok(started_ids) => self.dispatcher.import_started_ids(now, started_ids),
+            Err(error) => {
+                tracing::warn!(%error, "upgrade: the ids of requests that ran before are not known");
+            }
+        }
+    }
+
     fn listen_for_successors(&self, hot_restart: &mut HotRestart<H>) {
         let first_listener = self.adapters.client_listener.listeners().next();
         if let Some((address, _)) = first_listener {
@@ -194,6 +231,7 @@
         self.share_descriptors(now);
         self.write_reputation(now);
         self.reputation.release();
+        self.save_started_ids(now);
         let admission = self.adapters.client_listener.admission();
         let reputation =
             admission.map_or_else(Vec::new, |admission| admission.export_reputation(now));
@@ -205,6 +243,7 @@
     /// Resumes serving after the successor was lost.
     fn resume_serving(&mut self, now: Micros, hot_restart: &mut HotRestart<H>) {
         self.reclaim_keys();
+        self.load_started_ids();
         self.adapters.client_listener.resume_accepting();
         self.reputation.open(&self.host);
         self.share_descriptors(now);
--- a/crates/server/src/server/shutdown.rs
+++ b/crates/server/src/server/shutdown.rs
@@ -144,6 +144,8 @@
     /// Closes the persistence. No request may be served afterwards.
     pub fn close(&mut self) {
         let usage = self.combined_usage();
+        // Before the channel closes: the predecessor may serve again.
+        self.save_started_ids(self.host.now());
         if let Some(hot_restart) = &mut self.handover.hot_restart {
             hot_restart.shutdown(usage);
         }
--- a/crates/server/src/server/state.rs
+++ b/crates/server/src/server/state.rs
@@ -2,7 +2,7 @@
 
 use crate::client_listener::ClientListener;
 use crate::dependency_pool::DependencyPool;
-use crate::host::{Host, ReputationStorage as _};
+use crate::host::{HandoverAddress, Host, ReputationStorage as _};
 use crate::hot_restart::HotRestart;
 use crate::management_endpoint::ManagementEndpoint;
 use crate::options::{IdempotencyOptions, Options};
@@ -181,6 +181,8 @@
     pub(super) hot_restart: Option<HotRestart<H>>,
     /// Other processes of this server may succeed or precede this one.
     pub(super) has_handover_folder: bool,
+    /// The rendezvous of these processes; `None` without a handover folder.
+    pub(super) address: Option<HandoverAddress>,
     /// When listening is retried after a shortage of file descriptors.
     pub(super) retry_listen_at: Option<Micros>,
     /// Fatal error of listening; the process has to end.
@@ -194,9 +196,14 @@
 }
 
 impl<H: Host> Handover<H> {
-    pub(super) fn new(hot_restart: Option<HotRestart<H>>, max_client_connections: usize) -> Self {
+    pub(super) fn new(
+        hot_restart: Option<HotRestart<H>>,
+        address: Option<HandoverAddress>,
+        max_client_connections: usize,
+    ) -> Self {
         Self {
             has_handover_folder: hot_restart.is_some(),
+            address,
             hot_restart,
             retry_listen_at: None,
             listen_error: None,
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -26,6 +26,7 @@
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::fmt;
+use std::hash::{BuildHasher as _, RandomState};
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -414,6 +415,12 @@
     texts.iter().enumerate().map(parse).collect()
 }
 
+/// Returns a seed of its own for this process. Ids that two processes generate must differ: a matcher runs no
+/// id twice.
+fn process_seed(seed: u64) -> u64 {
+    RandomState::new().hash_one((seed, std::process::id()))
+}
+
 fn check_packet_size(key: &str, size: Option<usize>) -> Result<usize, KeyError> {
     let size = size.unwrap_or(PACKET_SIZE);
     if !PACKET_SIZE_RANGE.contains(&size) {
@@ -677,7 +684,7 @@
                 key: parse_source("key", figures.key.as_ref())?,
             },
             parameter_defaults: defaults,
-            id_seed: config.seed,
+            id_seed: process_seed(config.seed),
         };
         Ok(AjpOptions {
             listen,
--- a/src/operator/gateway.rs
+++ b/src/operator/gateway.rs
@@ -1,7 +1,9 @@
 //! The `gateway` section of an operator file: listening addresses, routes, classes and targets of a gateway.
 
 use super::section::read_section;
-use super::{check_packet_size, key_error, parse_addresses, KeyError, OperatorFileError};
+use super::{
+    check_packet_size, key_error, parse_addresses, process_seed, KeyError, OperatorFileError,
+};
 use crate::nginx;
 use cleatpulley_gateway::core::{Class, Settings};
 use cleatpulley_gateway::upstream::{HeaderNames, TargetProtocol};
@@ -395,7 +397,7 @@
                 caller: 0,
                 requires_id: false,
             }],
-            id_seed: seed,
+            id_seed: process_seed(seed),
         };
         Ok((listen, settings, self.trusted_proxies))
     }
--- a/tests/dispatcher.rs
+++ b/tests/dispatcher.rs
@@ -251,6 +251,42 @@
     );
 }
 
+/// Guards against a request that runs twice because it comes again with its id after its client has left.
+#[test]
+fn does_not_start_an_id_again_after_its_run_has_ended() {
+    let mut harness = Harness::new(|_| {});
+    assert_eq!(harness.arrive(1, 1), [start_command(1, 1)]);
+    harness.handle_event(Event::ConnectionLost(1));
+    assert!(harness.end_run(1, Outcome::Success).is_empty());
+    assert_eq!(harness.arrive(1, 1), [response_to(1, Response::Failed)]);
+    // The id is remembered for a minute, and another id runs.
+    harness.advance(61 * SECOND);
+    assert_eq!(harness.arrive(1, 1), [start_command(1, 1)]);
+    assert_eq!(harness.arrive(2, 1), [start_command(2, 1)]);
+}
+
+/// Guards against the same at the process that takes over the clients.
+#[test]
+fn does_not_start_an_id_that_another_process_has_started() {
+    let mut predecessor = Harness::new(|_| {});
+    predecessor.arrive(1, 1);
+    predecessor.end_run(1, Outcome::Success);
+    predecessor.arrive(2, 1);
+    let started_ids = predecessor.dispatcher.export_started_ids(predecessor.now);
+    let mut successor = Harness::new(|_| {});
+    successor
+        .dispatcher
+        .import_started_ids(successor.now, started_ids);
+    for id in [1, 2] {
+        assert_eq!(
+            successor.arrive(id, 1),
+            [response_to(id, Response::Failed)],
+            "{id}"
+        );
+    }
+    assert_eq!(successor.arrive(3, 1), [start_command(3, 1)]);
+}
+
 #[test]
 fn lost_connection_removes_queued_requests_and_abandons_calls_but_not_runs() {
     let mut harness = Harness::new(|settings| settings.cores = 1);
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -1,6 +1,6 @@
 //! Operation of real processes: the management address, and upgrades without downtime.
 
-use cleatpulley_emulators::callers::Protocol;
+use cleatpulley_emulators::callers::{request_frame, Protocol};
 use cleatpulley_emulators::host::with_lock;
 use cleatpulley_emulators::matcher::Matcher;
 use cleatpulley_emulators::site::{Setup, Site};
@@ -418,3 +418,57 @@
     let report = trial_run.check_rules();
     assert_eq!(report.violations, Vec::<String>::new(), "{report}");
 }
+
+/// Sends a request with this id on a connection of its own; returns the code of its response.
+fn response_code(address: SocketAddr, id: u64) -> u8 {
+    let now = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .map_or(0, |since_epoch| since_epoch.as_millis());
+    let fields = [
+        ("verb", "claim-seat".to_owned()),
+        ("txn", format!("{id:016x}")),
+        ("door", now.to_string()),
+        ("lb", "1".to_owned()),
+        ("cpu", "10.00".to_owned()),
+        ("ram", "20".to_owned()),
+        ("standing", "0.5000".to_owned()),
+    ];
+    let mut stream = TcpStream::connect(address).expect("connect to the process");
+    stream
+        .set_read_timeout(Some(Duration::from_secs(10)))
+        .expect("option is set");
+    stream
+        .write_all(&request_frame(1, &fields, b"seat 7"))
+        .expect("send the request");
+    // Length, type and stream come before the code.
+    let mut head = [0; 10];
+    stream.read_exact(&mut head).expect("read the response");
+    assert_eq!(head[4], 1, "a response frame");
+    head[9]
+}
+
+/// Guards against an id that runs at both processes of an upgrade.
+#[test]
+fn an_id_that_ran_at_the_predecessor_does_not_run_at_its_successor() {
+    const SERVED: u8 = 0;
+    const FAILED: u8 = 2;
+    let site = Site::start(Setup::default()).expect("start the emulated services");
+    let mut old = Matcher::start(&program(), &site.config, None).expect("start the process");
+    assert_eq!(response_code(old.frames, 0xa1), SERVED);
+    assert_eq!(response_code(old.frames, 0xa1), FAILED);
+    let mut new = old
+        .start_successor(&program(), &site.config)
+        .expect("start the successor");
+    new.wait_ready(Duration::from_secs(10))
+        .expect("the successor serves");
+    assert_eq!(response_code(new.frames, 0xa1), FAILED);
+    assert_eq!(response_code(new.frames, 0xa2), SERVED);
+    // After a rollback the old process knows what the new one ran.
+    new.terminate();
+    new.wait_for_exit(Duration::from_secs(20))
+        .expect("the successor ends");
+    old.wait_for_log("takes clients again")
+        .expect("the old process serves again");
+    assert_eq!(response_code(old.frames, 0xa2), FAILED);
+    assert_eq!(response_code(old.frames, 0xa3), SERVED);
+}
