Withdraw a gateway's request that still waits when its client leaves

Callers saw: a request that waited in the output of an established connection to its target was sent, and ran, after its client had left.

Cause: giving up a request by frames on an established connection only marked it; its frame stayed queued.

Change: the frame is removed if none of it was sent or sealed; those behind it keep their order.

Measured: abandoned_request_that_waits_on_an_established_connection_is_never_sent fails before: all three requests are sent where the second was given up.

--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -66,11 +66,21 @@
     }
 }
 
+/// A request that was queued on a connection by frames and has no response yet.
+#[derive(Clone, Copy)]
+struct OpenRequest {
+    /// The request, unless it was given up.
+    number: Option<RequestNumber>,
+    /// Value of `queued_bytes` at the end of its frame.
+    end: u64,
+    /// Bytes of its frame.
+    length: usize,
+}
+
 enum ProtocolState {
     Frames {
-        /// Open requests by stream: the request, unless it was given up, and the value of `queued_bytes` at the end of its
-        /// frame.
-        open: BTreeMap<u32, (Option<RequestNumber>, u64)>,
+        /// Open requests by stream.
+        open: BTreeMap<u32, OpenRequest>,
         last_stream: u32,
         /// True where the target has sent a goodbye: it takes no new request on this connection.
         received_goodbye: bool,
@@ -220,11 +230,13 @@
                     class_names,
                     header_names,
                 );
-                let length = (connection.conn.output().len() - before) as u64;
-                open.insert(
-                    *last_stream,
-                    (Some(number), connection.queued_bytes + length),
-                );
+                let length = connection.conn.output().len() - before;
+                let open_request = OpenRequest {
+                    number: Some(number),
+                    end: connection.queued_bytes + length as u64,
+                    length,
+                };
+                open.insert(*last_stream, open_request);
                 self.by_request
                     .insert(number, (connection_number, *last_stream));
                 true
@@ -395,10 +407,8 @@
             return;
         };
         match &mut connection.protocol_state {
-            ProtocolState::Frames { open, .. } if connection.is_established => {
-                if let Some(open_request) = open.get_mut(&stream) {
-                    open_request.0 = None;
-                }
+            ProtocolState::Frames { .. } if connection.is_established => {
+                connection.give_up(stream);
             }
             ProtocolState::Frames { open, .. } => {
                 open.remove(&stream);
@@ -460,8 +470,8 @@
         };
         match connection.protocol_state {
             ProtocolState::Frames { open, .. } => {
-                for (_, (request, end)) in open {
-                    let Some(request) = request else { continue };
+                for OpenRequest { number, end, .. } in open.into_values() {
+                    let Some(request) = number else { continue };
                     self.by_request.remove(&request);
                     // This holds after a goodbye too: a target that is killed then closes its connections just as one
                     // that has answered all requests.
@@ -531,6 +541,28 @@
 }
 
 impl<H: Host> TargetConnection<H> {
+    /// Gives up a request by frames on an established connection: it is withdrawn if none of it was sent;
+    /// otherwise its response is ignored.
+    fn give_up(&mut self, stream: u32) {
+        let ProtocolState::Frames { open, .. } = &mut self.protocol_state else {
+            return;
+        };
+        let Some(open_request) = open.get_mut(&stream) else {
+            return;
+        };
+        open_request.number = None;
+        let OpenRequest { end, length, .. } = *open_request;
+        let queued_after = usize::try_from(self.queued_bytes - end).unwrap_or(usize::MAX);
+        if !self.conn.withdraw(length, queued_after) {
+            return;
+        }
+        open.remove(&stream);
+        self.queued_bytes -= length as u64;
+        open.values_mut()
+            .filter(|later| later.end > end)
+            .for_each(|later| later.end -= length as u64);
+    }
+
     /// Sends and receives. Returns true where more can be read at once.
     fn poll(
         &mut self,
@@ -582,7 +614,10 @@
                         match kind {
                             codec::GO_AWAY => *received_goodbye = true,
                             codec::RESPONSE => {
-                                let Some((request, _)) = open.remove(&stream) else {
+                                let Some(OpenRequest {
+                                    number: request, ..
+                                }) = open.remove(&stream)
+                                else {
                                     return Err(format!(
                                         "response on stream {stream}, which is not open"
                                     ));
--- a/crates/gateway/src/upstream/tests.rs
+++ b/crates/gateway/src/upstream/tests.rs
@@ -295,3 +295,34 @@
         )]
     );
 }
+
+/// Guards against a request that is sent to its target and runs there although its client has left meanwhile.
+#[test]
+fn abandoned_request_that_waits_on_an_established_connection_is_never_sent() {
+    let host = FakeHost::default();
+    let (mut upstream, target) = new_upstream(&host);
+    let mut events = Vec::new();
+    host.write_capacity.set(10);
+    for number in [1, 2, 3] {
+        upstream.send(0, number, &target, "/", &new_request(number), &mut events);
+    }
+    upstream.on_readiness(1, READY);
+    upstream.poll(0, &mut events);
+    // The first was sent in part and can't be withdrawn.
+    upstream.abandon(1, &mut events);
+    upstream.abandon(2, &mut events);
+    host.write_capacity.set(usize::MAX);
+    upstream.on_readiness(1, READY);
+    upstream.poll(0, &mut events);
+    assert!(events.is_empty(), "{events:?}");
+    let received = String::from_utf8_lossy(&host.received.borrow()).into_owned();
+    let is_sent = |id: u64| received.contains(&format!("{id:016x}"));
+    assert_eq!([is_sent(1), is_sent(2), is_sent(3)], [true, false, true]);
+    // What follows keeps its place: its response is matched, and its end is known.
+    let mut response_bytes = Vec::new();
+    codec::push_response(&mut response_bytes, 3, &Response::Failed, None);
+    *host.sent.borrow_mut() = response_bytes;
+    upstream.on_readiness(1, READY);
+    upstream.poll(0, &mut events);
+    assert_eq!(events, [(3, AttemptEvent::Failed(AttemptFailure::Failed))]);
+}
--- a/crates/server/src/buffered_connection.rs
+++ b/crates/server/src/buffered_connection.rs
@@ -205,6 +205,27 @@
         }
     }
 
+    /// Removes `length` bytes that are followed by `bytes_after` in the buffer of [`output`](Self::output).
+    /// Returns false if some of them were sent, or sealed in a TLS record.
+    pub fn withdraw(&mut self, length: usize, bytes_after: usize) -> bool {
+        let sent_bytes = if self.tls.is_some() {
+            0
+        } else {
+            self.sent_bytes
+        };
+        let buffer = self.output();
+        let Some(end) = buffer.len().checked_sub(bytes_after) else {
+            return false;
+        };
+        match end.checked_sub(length) {
+            Some(start) if start >= sent_bytes => {
+                buffer.drain(start..end);
+                true
+            }
+            _ => false,
+        }
+    }
+
     /// Returns the number of bytes not sent yet.
     #[must_use]
     pub fn unsent_bytes(&self) -> usize {
