Read less from each client in an iteration, and from fewer busy ones

Callers saw: beside 800 clients that sent health checks without pause and read no answers, 13 of 104 other requests were answered within 5 s; beside 800 that sent one burst, 75 of 88 were rejected.

Cause: an iteration read and handled up to 64 KB, 6,500 messages, from every client before it served any other peer, and limits on events don't hold for messages that are no requests.

Change: 16 KB from a client, and after 32 that have more the next iteration goes on with those left.

The new test fails with the limit taken out: 100 connections served where 32 may be.

--- a/crates/server/src/client_listener.rs
+++ b/crates/server/src/client_listener.rs
@@ -54,6 +54,9 @@
 /// Number of events in one iteration after which no further connection is served, so that the requests
 /// of many clients are handled, and the responses sent, before more of them are read.
 const MAX_EVENTS_PER_POLL: usize = 256;
+/// Number of connections with more to read after which no further one is served in the same iteration. Their
+/// messages may be no requests and cause no events.
+const MAX_BUSY_CONNECTIONS_PER_POLL: usize = 32;
 /// Maximum number of bytes of all incomplete messages, unless another limit is set.
 const DEFAULT_MAX_BUFFERED_BYTES: usize = 32_000_000;
 
@@ -309,8 +312,8 @@
         !self.has_more.is_empty() || (self.is_acceptable() && now >= self.acceptor.accept_at)
     }
 
-    /// Serves the ready connections by ascending number, up to a number of events. The next call begins with
-    /// those that are left.
+    /// Serves the ready connections by ascending number, up to a number of events and of busy connections. The
+    /// next call begins with those that are left.
     fn serve_ready(&mut self, now: Micros, events: &mut Vec<Event>) {
         let mut ready = std::mem::take(&mut self.ready);
         ready.append(&mut self.has_more);
@@ -322,7 +325,7 @@
         let max_events = events.len() + MAX_EVENTS_PER_POLL;
         let mut ready = ready.into_iter();
         for number in ready.by_ref() {
-            if events.len() >= max_events {
+            if events.len() >= max_events || self.has_more.len() >= MAX_BUSY_CONNECTIONS_PER_POLL {
                 self.next_to_serve = Some(number);
                 self.has_more.push(number);
                 break;
--- a/crates/server/src/client_listener/client_connection.rs
+++ b/crates/server/src/client_listener/client_connection.rs
@@ -10,9 +10,8 @@
 use cleatpulley_protocol::state_machine::{ConnectionState, Context};
 use std::io;
 
-/// Maximum number of bytes read from a connection in one iteration, so that a busy client does not
-/// delay others.
-const READ_LIMIT_BYTES: usize = 65_536;
+/// Number of bytes read from a connection in one iteration, so that a busy client does not delay others.
+const READ_QUANTUM_BYTES: usize = 16_384;
 /// Nothing is read from a client while this many bytes to it are unsent, so that its responses do
 /// not accumulate. The responses to its open requests come on top.
 const MAX_UNSENT_BYTES: usize = 32_768;
@@ -111,7 +110,8 @@
         self.stream.take_error()?;
         self.stream.flush()?;
         if self.stream.unsent_bytes() < MAX_UNSENT_BYTES {
-            has_more = self.stream.read(READ_LIMIT_BYTES)?;
+            let limit = self.stream.input.len() + READ_QUANTUM_BYTES;
+            has_more = self.stream.read(limit)?;
             self.receive(context, arrivals);
         }
         self.stream.flush()?;
--- a/crates/server/src/client_listener/tests.rs
+++ b/crates/server/src/client_listener/tests.rs
@@ -522,3 +522,25 @@
     }
     assert_eq!(ids, (1..=CLIENTS).collect::<Vec<_>>());
 }
+
+/// Guards against many clients that send messages other than requests without pause: an iteration that reads
+/// from all of them keeps operators and other peers waiting.
+#[test]
+fn one_iteration_reads_from_a_limited_number_of_busy_connections() {
+    const CLIENTS: u64 = 100;
+    let (_event_loop, mut listener, mut clients) = connect_clients_of_class(128, CLIENTS as usize);
+    let health_checks = [0, 0, 0, 6, 6, 0, 0, 0, 2, 0].repeat(4_000);
+    for (client, number) in clients.iter_mut().zip(1_u64..) {
+        std::io::Write::write_all(client, &health_checks).expect("bytes are sent");
+        listener.on_readiness(number, READABLE);
+    }
+    assert!(listener.poll(2, &mut Vec::new()), "there is more to read");
+    let is_served =
+        |connection: &&ClientConnection<OsHost>| connection.machine.status().has_received_message;
+    let count =
+        |listener: &ClientListener<OsHost>| listener.connections.values().filter(is_served).count();
+    assert_eq!(count(&listener), MAX_BUSY_CONNECTIONS_PER_POLL);
+    // The others have their turn before those that were served.
+    listener.poll(3, &mut Vec::new());
+    assert_eq!(count(&listener), 2 * MAX_BUSY_CONNECTIONS_PER_POLL);
+}
