Test that a draining instance leaves a shared address to those that serve

Three tests encoded the same request.

Change: a test with a real fleet, after the grace period; one `request_frame_now` in the emulators serves the tests of fleet, service and tls, whose assertions are unchanged.

--- a/crates/emulators/src/callers.rs
+++ b/crates/emulators/src/callers.rs
@@ -13,6 +13,7 @@
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 /// Longest interval between two reads of the rate share while it is not 1.
 const RATE_SHARE_CHECK_INTERVAL: Micros = 50_000;
@@ -670,6 +671,24 @@
     frame
 }
 
+/// Encodes a request of this class and id as a frame, received by the front end just now.
+#[must_use]
+pub fn request_frame_now(stream: u32, class: &str, id: u64, work_ms: f64, body: &[u8]) -> Vec<u8> {
+    let received_at = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |since_epoch| since_epoch.as_millis());
+    let fields = [
+        ("verb", class.to_owned()),
+        ("txn", format!("{id:016x}")),
+        ("door", received_at.to_string()),
+        ("lb", "1".to_owned()),
+        ("cpu", format!("{work_ms:.2}")),
+        ("ram", "20".to_owned()),
+        ("standing", "0.5000".to_owned()),
+    ];
+    request_frame(stream, &fields, body)
+}
+
 /// Removes the complete frames from the input of a front end's connection. Returns the responses to
 /// its open requests and the number of frames that belong to none; sets `goodbye_received` on a goodbye, after
 /// which no new request may be sent.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -1,7 +1,7 @@
 //! Tests of the daemon with real processes: the daemon is killed and restarted during a replacement, a release fails,
 //! descriptors run out, and instances crash, hang or are stopped.
 
-use cleatpulley_emulators::callers::request_frame;
+use cleatpulley_emulators::callers::request_frame_now;
 use cleatpulley_emulators::site::{Setup, Site};
 use cleatpulley_fleet::control_protocol::{
     ControlCommand, ControlResponse, FleetView, TerminatedInstanceView,
@@ -519,19 +519,7 @@
 
 /// Encodes a request on a stream of a connection.
 fn encode_request(stream: u32, id: u64) -> Vec<u8> {
-    let now = std::time::SystemTime::now()
-        .duration_since(std::time::UNIX_EPOCH)
-        .map_or(0, |at| at.as_millis());
-    let fields = [
-        ("verb", "lobby-view".to_owned()),
-        ("txn", format!("{id:016x}")),
-        ("door", now.to_string()),
-        ("lb", "1".to_owned()),
-        ("cpu", "70.00".to_owned()),
-        ("ram", "20".to_owned()),
-        ("standing", "0.5000".to_owned()),
-    ];
-    request_frame(stream, &fields, b"lobby")
+    request_frame_now(stream, "lobby-view", id, 70.0, b"lobby")
 }
 
 fn connect(address: SocketAddr) -> Result<TcpStream, String> {
@@ -725,8 +713,7 @@
     (responses, lost)
 }
 
-/// Guards against a fleet that shuts down while the system goes on accepting connections for it that no
-/// process reads.
+/// Guards against a fleet that shuts down while the system accepts connections for it that no process reads.
 #[test]
 fn a_shutdown_on_a_shared_address_answers_each_request_it_was_sent() {
     let address = SocketAddr::from(([127, 0, 0, 3], free_ports(1)[0]));
@@ -774,3 +761,47 @@
     });
     fleet.shut_down();
 }
+
+/// Returns the code of the response to one request on a connection of its own.
+fn response_code(address: SocketAddr, id: u64) -> u8 {
+    let mut stream = connect(address).expect("connects to the fleet");
+    stream
+        .write_all(&encode_request(1, id))
+        .expect("sends the request");
+    // Length, type and stream come before the code.
+    let mut head = [0; 10];
+    stream.read_exact(&mut head).expect("reads the response");
+    head[9]
+}
+
+/// Guards against a draining instance that goes on accepting beside its successors, and rejects after its
+/// grace period what they would serve.
+#[test]
+fn a_draining_instance_leaves_new_connections_to_those_that_serve() {
+    const SERVED: u8 = 0;
+    let address = SocketAddr::from(([127, 0, 0, 3], free_ports(1)[0]));
+    let mut fleet = TestFleet::with_stop_timeout(
+        1,
+        1,
+        Some(address),
+        "batch: 1, minimum: 1",
+        Duration::from_millis(2_500),
+    );
+    fleet.start_daemon();
+    fleet.wait_until("warm", |view| view.converged);
+    fleet.replace(2).expect("begins the replacement");
+    let is_old_draining = |view: &FleetView| {
+        view.instances
+            .iter()
+            .any(|instance| instance.generation == 1 && instance.phase == Phase::Draining)
+    };
+    fleet.wait_until("draining", is_old_draining);
+    // After the grace period of 300 ms, in which the old instance would serve them itself.
+    std::thread::sleep(Duration::from_millis(800));
+    let codes: Vec<u8> = (0..20).map(|id| response_code(address, id)).collect();
+    assert_eq!(codes, [SERVED; 20]);
+    fleet.wait_until("replaced", |view| {
+        view.converged && view.stable_generation == 2
+    });
+    fleet.shut_down();
+}
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -1,6 +1,6 @@
 //! Operation of real processes: the management address, and upgrades without downtime.
 
-use cleatpulley_emulators::callers::{request_frame, Protocol};
+use cleatpulley_emulators::callers::{request_frame_now, Protocol};
 use cleatpulley_emulators::host::with_lock;
 use cleatpulley_emulators::matcher::Matcher;
 use cleatpulley_emulators::site::{Setup, Site};
@@ -421,24 +421,12 @@
 
 /// Sends a request with this id on a connection of its own; returns the code of its response.
 fn response_code(address: SocketAddr, id: u64) -> u8 {
-    let now = std::time::SystemTime::now()
-        .duration_since(std::time::UNIX_EPOCH)
-        .map_or(0, |since_epoch| since_epoch.as_millis());
-    let fields = [
-        ("verb", "claim-seat".to_owned()),
-        ("txn", format!("{id:016x}")),
-        ("door", now.to_string()),
-        ("lb", "1".to_owned()),
-        ("cpu", "10.00".to_owned()),
-        ("ram", "20".to_owned()),
-        ("standing", "0.5000".to_owned()),
-    ];
     let mut stream = TcpStream::connect(address).expect("connect to the process");
     stream
         .set_read_timeout(Some(Duration::from_secs(10)))
         .expect("option is set");
     stream
-        .write_all(&request_frame(1, &fields, b"seat 7"))
+        .write_all(&request_frame_now(1, "claim-seat", id, 10.0, b"seat 7"))
         .expect("send the request");
     // Length, type and stream come before the code.
     let mut head = [0; 10];
--- a/tests/tls.rs
+++ b/tests/tls.rs
@@ -1,7 +1,7 @@
 //! TLS on a real process: requests over TLS, classes permitted to certificate names, a certificate that is
 //! renewed on disk, and a flood of abandoned handshakes while a known caller connects.
 
-use cleatpulley_emulators::callers::{decode_response, request_frame, ResponseOutcome};
+use cleatpulley_emulators::callers::{decode_response, request_frame_now, ResponseOutcome};
 use cleatpulley_emulators::matcher::Matcher;
 use cleatpulley_emulators::site::{Setup, Site};
 use cleatpulley_tls::authority::{self, IssuedCertificate};
@@ -116,20 +116,8 @@
 }
 
 fn request(class: &str, id: u64) -> Vec<u8> {
-    let millis = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |at| at.as_millis());
-    let fields = [
-        ("verb", class.to_owned()),
-        ("txn", format!("{id:016x}")),
-        ("door", millis.to_string()),
-        ("lb", "1".to_owned()),
-        ("cpu", "20.00".to_owned()),
-        ("ram", "20".to_owned()),
-        ("standing", "0.5000".to_owned()),
-    ];
     // Each request on a connection needs a new stream number.
-    request_frame(id as u32, &fields, b"lobby")
+    request_frame_now(id as u32, class, id, 20.0, b"lobby")
 }
 
 fn send_request(tls: &mut Tls, class: &str, id: u64) -> Option<ResponseOutcome> {
