--- a/crates/fleet/src/daemon.rs
+++ b/crates/fleet/src/daemon.rs
@@ -465,7 +465,7 @@
 
     /// Closes the copies of the shared listening socket on which no connection is accepted any more: those of
     /// draining instances while another instance accepts, and the daemon's own while none does and none is
-    /// started. The system would go on accepting connections that nobody reads.
+    /// started. The system would accept connections on them that no process reads.
     fn release_shared_listener(&mut self) {
         let plan = &self.state.plan;
         if plan.is_draining_without_successor() {
--- a/crates/fleet/src/daemon/instance_link.rs
+++ b/crates/fleet/src/daemon/instance_link.rs
@@ -22,8 +22,8 @@
     pub(super) incarnation: Option<u64>,
     /// A descriptor received with the data.
     pub(super) received_fd: Option<OwnedFd>,
-    /// Whether the instance was told to close the shared listening socket.
-    is_told_to_close_listener: bool,
+    /// Whether the instance was requested to close the shared listening socket.
+    is_listener_close_requested: bool,
 }
 
 impl InstanceLink {
@@ -33,14 +33,14 @@
             input: Vec::new(),
             incarnation: None,
             received_fd: None,
-            is_told_to_close_listener: false,
+            is_listener_close_requested: false,
         }
     }
 
-    /// Tells the instance once to close the shared listening socket, since another instance accepts on it.
+    /// Requests once that the instance close the shared listening socket, since another instance accepts on it.
     /// An instance that does not receive this accepts until shortly before it stops.
     pub(super) fn request_listener_close(&mut self) {
-        if !std::mem::replace(&mut self.is_told_to_close_listener, true) {
+        if !std::mem::replace(&mut self.is_listener_close_requested, true) {
             let _ = (&self.stream).write_all(CLOSE_LISTENER_REQUEST);
         }
     }
--- a/crates/server/src/client_listener/buffer_limit.rs
+++ b/crates/server/src/client_listener/buffer_limit.rs
@@ -16,19 +16,19 @@
         self.buffered_bytes
     }
 
-    /// Counts the buffers of a connection that was served. While all of them exceed the limit, gives up
-    /// the largest incomplete message, as if it had not been completed in time.
-    pub(super) fn limit_buffers(&mut self, now: Micros, number: u64) {
-        self.count_buffers(number);
+    /// Counts the buffers of the connection that was just served. While the buffers of all connections exceed
+    /// the limit, gives up the largest incomplete message, like one that is not complete in time.
+    pub(super) fn limit_buffers(&mut self, now: Micros, served_number: u64) {
+        self.count_buffers(served_number);
         while self.buffered_bytes > self.max_buffered_bytes {
             let largest = self
                 .connections
                 .iter()
                 .max_by_key(|(_, connection)| connection.counted_buffer_bytes);
-            let Some((&number, _)) = largest else {
+            let Some((&largest_number, _)) = largest else {
                 return;
             };
-            self.give_up_message(now, number);
+            self.give_up_message(now, largest_number);
         }
     }
 
--- a/crates/server/src/client_listener/client_connection.rs
+++ b/crates/server/src/client_listener/client_connection.rs
@@ -105,8 +105,8 @@
         arrivals: &mut Vec<IncomingRequest>,
     ) -> io::Result<NextAction> {
         let mut has_more = false;
-        // Requests that were sent before the client reset the connection can still be read. Nobody waits for
-        // them, and the client may have sent them again.
+        // Requests that a client sent before it reset the connection can still be read. Their responses can't
+        // be delivered, and the client may have retried them elsewhere.
         self.stream.take_error()?;
         self.stream.flush()?;
         if self.stream.unsent_bytes() < MAX_UNSENT_BYTES {
