Allow the fleet's trials to drain a hung instance below the floor

Cause: since an instance without status reports is drained where its connection is not known to be open, instead of killed. In the trials this happens where the daemon was restarted while an instance hangs. The check counted its last reported capacity as lost, though a hung process serves nothing; a kill was never counted.

Change: the trial's own knowledge that the process hangs allows the drain, not what the plan says of it. Every other drain is checked as before. The plan's invariants name the exception; docs/operate/fleet.md already does.

--- a/crates/fleet/src/fault_simulation.rs
+++ b/crates/fleet/src/fault_simulation.rs
@@ -423,6 +423,7 @@
             return;
         };
         let own = capacity(process);
+        let is_hung = process.hung;
         (process.drain_received, process.drain_known) = (true, true);
         let drain_duration = TICK * self.random.random_range(3..20);
         if !process.ignores_drain {
@@ -434,7 +435,12 @@
         {
             return;
         }
-        // The one exception that the plan allows.
+        // A hung process serves nothing. A daemon that was restarted does not know whether the process has a
+        // connection for reports, and drains it where it would otherwise kill it.
+        if is_hung {
+            return self.count("hung instance drained");
+        }
+        // The exception for instances that serve.
         let rolling_back = self
             .plan
             .replacement()
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -3,8 +3,9 @@
 //! durable before the next effect is executed.
 //!
 //! Invariants: no slot has two instances, no incarnation number is used twice, and no instance is drained while the
-//! capacity without it would be below the floor. There is one exception: during a rollback, a generation that was given
-//! up and never became warm may occupy all slots; then one of its instances is drained so that another can start.
+//! capacity without it would be below the floor. There are two exceptions. During a rollback, a generation that was given
+//! up and never became warm may occupy all slots; then one of its instances is drained so that another can start. And an
+//! instance without status reports is killed, or drained where its connection for reports is not open.
 
 use crate::regression::{self, Regression, RegressionThresholds, RequestCounts};
 use crate::restart::{RestartBackoff, RestartPolicy};
--- a/crates/fleet/tests/fault_simulation.rs
+++ b/crates/fleet/tests/fault_simulation.rs
@@ -40,3 +40,22 @@
         );
     }
 }
+
+/// Guards against counting the drain of a hung instance as one below the floor. In these seeds the daemon is
+/// restarted while an instance hangs, and does not know its connection.
+#[test]
+fn hung_instance_is_drained_whatever_the_capacity_after_a_daemon_restart() {
+    for seed in [180, 209, 234, 381, 3_700] {
+        let result = fault_simulation::run(seed);
+        assert!(
+            result.violations.is_empty(),
+            "seed {seed}: {:?}",
+            result.violations
+        );
+        assert!(
+            result.situations.contains_key("hung instance drained"),
+            "seed {seed}: {:?}",
+            result.situations
+        );
+    }
+}
